--- /dev/null
+++ b/include/hollybeam/balancer.hpp
@@ -0,0 +1,183 @@
+// hollybeam: the decisions of a sidecar balancer, without I/O and without a clock.
+//
+// One Balancer serves one sidecar. Feed it every event in order with the time at which it happened and carry
+// out the actions it appends, in their order, at that same time. Times are milliseconds on any clock that
+// never goes back. Servers, zones, requests and peers are named by integers that the caller chooses; their
+// values carry no meaning. Same settings, seed and events give the same actions.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hollybeam {
+
+using Millis = double;
+using ServerId = std::uint32_t;
+using ZoneId = std::uint32_t;
+using RequestId = std::uint64_t;
+using TimerToken = std::uint64_t;
+
+// ---- Settings -------------------------------------------------------------------------------------------
+
+// Whether an effect may happen twice: freely, within a group of servers that drops repeats, or never.
+enum class Effect { repeatable, by_key, once };
+
+// Which servers share the memory of keys already seen (for Effect::by_key).
+enum class DedupScope { all, zone, cell };
+
+struct RequestClass {
+    Effect effect = Effect::once;
+    DedupScope dedup_scope = DedupScope::cell;
+    Millis dedup_window = 0;  // repeats are dropped this long after the first attempt that may have run
+    Millis aim = 1000;        // an answer within this earns full worth
+    double aim_stretch = 0;   // the aim grows by this multiple of the request's own effort
+    double worth = 1;         // of one request, against other classes
+    double late_worth = 0;    // the part of it that an answer past its aim still earns, 0 to 1
+};
+
+struct Tenant {
+    double quota = 0;  // requests per second within its share, summed over all sidecars
+};
+
+// Prices in shares of the whole result, as operators state them; 0 leaves a matter out of account.
+struct Fees {
+    double cross_zone = 0;  // for each attempt that leaves the zone
+};
+
+struct Settings {
+    std::vector<RequestClass> classes;  // at least one
+    std::vector<Tenant> tenants;        // may be empty
+    std::optional<ZoneId> my_zone;
+    std::uint32_t siblings = 1;      // sidecars that share these servers, this one included
+    bool list_on_request = false;    // the server list must be subscribed to
+    std::uint32_t max_attempts = 3;  // for one request, the first included
+    bool parallel_tries = false;     // two attempts of one request may be out together
+    bool may_cancel = true;          // Cancel is permitted
+    double cold_from = 1;            // a starting server has at least this share of its capacity, 0 to 1
+    Millis warm_within = 0;          // and all of it after this
+    double fall_multiple = 2;  // sent more than this multiple of what it can do, a cold server falls over
+    Fees fees;
+};
+
+// ---- Events ---------------------------------------------------------------------------------------------
+
+enum class Phase { on, fading, off };
+
+struct ServerInfo {
+    ServerId id = 0;
+    ZoneId zone = 0;
+    std::uint32_t kind = 0;  // of machine, as opaque as the zone: servers of one kind are likely to be alike
+    std::uint32_t cell = 0;
+    Phase phase = Phase::on;
+    Millis online_since = 0;  // when it last started; 0: long ago
+};
+
+// incremental: changed entries only. full: the whole list. saved: the whole list as last held before this
+// start, possibly stale. failed: a call failed or the subscription broke; the list held stays in force.
+enum class ListKind { incremental, full, saved, failed };
+
+enum class Outcome {
+    completed,
+    errored,             // the server said so; it may have run
+    saturated,           // turned away unseen; never ran
+    overdue,             // no answer in time; may have run or be running
+    refused_connection,  // no connection; never ran
+    severed,             // connection lost while out; may have run
+    recalled,            // withdrawn by us; may have run
+    superseded           // not issued at all; never ran
+};
+
+struct Started {};  // the first event of a life; a list of kind saved follows
+struct ServerList {
+    ListKind kind = ListKind::full;
+    std::vector<ServerInfo> servers{};
+};
+struct RequestArrived {
+    RequestId id = 0;                       // never used twice
+    std::uint32_t class_index = 0;          // into Settings::classes; out of range: handled with most care
+    std::optional<std::uint32_t> tenant{};  // into Settings::tenants; none or out of range: nobody's
+    Millis time_left = 0;                   // until the client abandons this try
+    Millis effort = 0;                      // expected work, 0 if not known
+    bool repeat = false;                    // known to be the client's retry
+};
+struct FirstByte {  // a streamed answer has begun; the attempt belongs to the client from here on
+    RequestId id = 0;
+    std::uint32_t attempt = 0;
+};
+struct AttemptEnded {
+    RequestId id = 0;
+    std::uint32_t attempt = 0;  // attempts of one request count from 0 in the order of their Send
+    Outcome outcome = Outcome::completed;
+    Millis duration = 0;
+    bool request_ended = false;  // the client has its final answer, by this outcome or before
+};
+struct ClientGone {
+    RequestId id = 0;
+};
+struct TimerFired {
+    TimerToken token = 0;
+};
+using Event =
+    std::variant<Started, ServerList, RequestArrived, FirstByte, AttemptEnded, ClientGone, TimerFired>;
+
+// ---- Actions --------------------------------------------------------------------------------------------
+// A caller must be able to carry out all of them.
+
+struct Send {
+    RequestId id = 0;
+    ServerId server = 0;
+    Millis try_until = 0;  // the caller ends the attempt as overdue at this time
+};
+struct Cancel {
+    RequestId id = 0;
+    std::uint32_t attempt = 0;
+};
+struct Refuse {  // final: trying again is harmless
+    RequestId id = 0;
+    Millis retry_in = 0;  // 0: no advice
+};
+struct GiveUp {  // final: failed, promises nothing
+    RequestId id = 0;
+};
+struct SetTimer {
+    Millis at = 0;
+    TimerToken token = 0;
+};
+struct Subscribe {
+    bool active = true;
+};
+struct Log {
+    std::string text{};
+    std::optional<ServerId> server{};  // whom it is about
+};
+using Action = std::variant<Send, Cancel, Refuse, GiveUp, SetTimer, Subscribe, Log>;
+
+// ---- The balancer ---------------------------------------------------------------------------------------
+
+class Balancer {
+public:
+    // Throws std::invalid_argument naming the setting that makes no sense.
+    Balancer(Settings settings, std::uint64_t seed);
+    ~Balancer();
+    Balancer(Balancer&&) noexcept;
+    Balancer& operator=(Balancer&&) noexcept;
+
+    // Appends to actions. Events about unknown or finished things have no effect.
+    void handle(Millis now, const Event& event, std::vector<Action>& actions);
+
+    // Requests, servers and timers held at present: what this instance costs in memory.
+    struct Held {
+        std::size_t requests = 0, servers = 0, timers = 0;
+    };
+    Held held() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace hollybeam
--- /dev/null
+++ b/src/adapter.cpp
@@ -0,0 +1,9 @@
+// The process that the simulator starts: the wire on standard input and output.
+#include <iostream>
+
+#include "wire.hpp"
+
+int main() {
+    std::ios::sync_with_stdio(false);
+    return hollybeam::wire::Host(std::cin, std::cout, std::cerr).run();
+}
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,37 @@
+#include "settings.hpp"
+
+#include <cmath>
+#include <stdexcept>
+
+namespace hollybeam {
+
+namespace {
+
+void check(bool sound, const std::string& setting) {
+    if (!sound) throw std::invalid_argument("hollybeam: setting makes no sense: " + setting);
+}
+void check_time(Millis value, const std::string& name) { check(std::isfinite(value) && value >= 0, name); }
+
+}  // namespace
+
+void validate(const Settings& s) {
+    check(!s.classes.empty(), "classes (none given)");
+    for (std::size_t i = 0; i < s.classes.size(); ++i) {
+        const std::string prefix = "classes[" + std::to_string(i) + "].";
+        const RequestClass& c = s.classes[i];
+        check(std::isfinite(c.aim) && c.aim > 0, prefix + "aim");
+        check_time(c.dedup_window, prefix + "dedup_window");
+        check_time(c.aim_stretch, prefix + "aim_stretch");
+        check_time(c.worth, prefix + "worth");
+        check(c.late_worth >= 0 && c.late_worth <= 1, prefix + "late_worth");
+    }
+    for (std::size_t i = 0; i < s.tenants.size(); ++i)
+        check_time(s.tenants[i].quota, "tenants[" + std::to_string(i) + "].quota");
+    check(s.max_attempts >= 1, "max_attempts");
+    check_time(s.warm_within, "warm_within");
+    check(std::isfinite(s.fall_multiple) && s.fall_multiple >= 1, "fall_multiple");
+    check(s.cold_from >= 0 && s.cold_from <= 1, "cold_from");
+    check_time(s.fees.cross_zone, "fees.cross_zone");
+}
+
+}  // namespace hollybeam
--- /dev/null
+++ b/src/settings.hpp
@@ -0,0 +1,11 @@
+// Whether settings make sense at all; what follows from them is decided in balance.cpp.
+#pragma once
+
+#include "hollybeam/balancer.hpp"
+
+namespace hollybeam {
+
+// Throws std::invalid_argument naming the first setting that makes no sense.
+void validate(const Settings& settings);
+
+}  // namespace hollybeam
--- /dev/null
+++ b/src/wire.cpp
@@ -0,0 +1,463 @@
+#include "wire.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <istream>
+#include <ostream>
+
+namespace hollybeam::wire {
+
+namespace {
+
+template <class T>
+bool parse(std::string_view text, T& value) {
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc() && end == text.data() + text.size();
+}
+
+template <class T>
+using Names = std::vector<std::pair<std::string_view, T>>;
+
+template <class T>
+T named(const Message& message, std::string_view field, const Names<T>& names) {
+    const std::string_view text = message.text(field);
+    for (const auto& [name, value] : names)
+        if (name == text) return value;
+    message.fail(field, "is not a known word");
+}
+
+const Names<Phase> phases{{"on", Phase::on}, {"fading", Phase::fading}, {"off", Phase::off}};
+const Names<ListKind> list_kinds{{"INCREMENTAL", ListKind::incremental},
+                                 {"FULL", ListKind::full},
+                                 {"SAVED", ListKind::saved},
+                                 {"FAILED", ListKind::failed}};
+const Names<Effect> effects{
+    {"repeatable", Effect::repeatable}, {"by_key", Effect::by_key}, {"once", Effect::once}};
+const Names<DedupScope> scopes{
+    {"all", DedupScope::all}, {"zone", DedupScope::zone}, {"cell", DedupScope::cell}};
+const Names<Outcome> outcomes{{"completed", Outcome::completed},
+                              {"errored", Outcome::errored},
+                              {"saturated", Outcome::saturated},
+                              {"overdue", Outcome::overdue},
+                              {"refused_conn", Outcome::refused_connection},
+                              {"severed", Outcome::severed},
+                              {"recalled", Outcome::recalled},
+                              {"superseded", Outcome::superseded}};
+
+std::vector<std::string> split(std::string_view list) {
+    std::vector<std::string> items;
+    while (!list.empty()) {
+        const auto comma = list.find(',');
+        items.emplace_back(list.substr(0, comma));
+        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
+    }
+    return items;
+}
+
+void add_number(std::string& line, double value) {
+    char buffer[40];
+    const auto end = std::to_chars(buffer, buffer + sizeof buffer, value, std::chars_format::fixed, 3).ptr;
+    line.append(buffer, end);
+}
+
+template <class... Ts>
+struct Overloaded : Ts... {
+    using Ts::operator()...;
+};
+template <class... Ts>
+Overloaded(Ts...) -> Overloaded<Ts...>;
+
+}  // namespace
+
+// ---- Codec ----------------------------------------------------------------------------------------------
+
+Message::Message(std::string_view line, std::size_t number) : line_(number) {
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    const auto space = line.find(' ');
+    kind_ = line.substr(0, space);
+    if (kind_.empty()) throw WireError("line " + std::to_string(line_) + ": empty line");
+    std::string_view rest = space == std::string_view::npos ? std::string_view() : line.substr(space + 1);
+    while (!rest.empty()) {
+        const auto gap = rest.find(' ');
+        const std::string_view pair = rest.substr(0, gap);
+        rest = gap == std::string_view::npos ? std::string_view() : rest.substr(gap + 1);
+        const auto equals = pair.find('=');
+        if (equals == std::string_view::npos || equals == 0) fail(pair, "is not name=value");
+        fields_.emplace_back(pair.substr(0, equals), pair.substr(equals + 1));
+    }
+}
+
+void Message::fail(std::string_view field, std::string_view what) const {
+    throw WireError("line " + std::to_string(line_) + ": " + std::string(kind_) + ": field '" +
+                    std::string(field) + "' " + std::string(what));
+}
+
+const std::string_view* Message::find(std::string_view field) const {
+    for (const auto& [name, value] : fields_)
+        if (name == field) return &value;
+    return nullptr;
+}
+
+std::string_view Message::text(std::string_view field) const {
+    const auto* value = find(field);
+    if (!value) fail(field, "is missing");
+    return *value;
+}
+
+double Message::number(std::string_view field) const {
+    double value = 0;
+    if (!parse(text(field), value) || !std::isfinite(value)) fail(field, "is not a number");
+    return value;
+}
+
+double Message::number_or(std::string_view field, double fallback) const {
+    return has(field) ? number(field) : fallback;
+}
+
+std::uint64_t Message::integer(std::string_view field) const {
+    std::uint64_t value = 0;
+    if (!parse(text(field), value)) fail(field, "is not a whole number");
+    return value;
+}
+
+std::uint64_t Message::integer_or(std::string_view field, std::uint64_t fallback) const {
+    return has(field) ? integer(field) : fallback;
+}
+
+bool Message::flag_or(std::string_view field, bool fallback) const {
+    if (!has(field)) return fallback;
+    const std::string_view value = text(field);
+    if (value == "1" || value == "true") return true;
+    if (value == "0" || value == "false") return false;
+    fail(field, "is not a truth value");
+}
+
+std::uint32_t number_of(std::vector<std::string>& names, std::string_view name) {
+    const auto at = std::find(names.begin(), names.end(), name);
+    const auto number = static_cast<std::uint32_t>(at - names.begin());
+    if (at == names.end()) names.emplace_back(name);
+    return number;
+}
+
+Site read_site(const Message& start) {
+    Site site;
+    Settings& s = site.settings;
+    if (start.has("azs")) site.zones = split(start.text("azs"));
+    if (start.has("my-zone")) s.my_zone = number_of(site.zones, start.text("my-zone"));
+    for (std::uint64_t i = 0, count = start.integer("classes.count"); i < count; ++i) {
+        const std::string prefix = "classes." + std::to_string(i) + ".";
+        RequestClass c;
+        c.effect = named(start, prefix + "effect", effects);
+        if (start.has(prefix + "dedup-scope")) c.dedup_scope = named(start, prefix + "dedup-scope", scopes);
+        c.dedup_window = start.number_or(prefix + "dedup-window-ms", c.dedup_window);
+        c.aim = start.number(prefix + "on-time-ms");
+        c.aim_stretch = start.number_or(prefix + "aim-stretch", c.aim_stretch);
+        c.late_worth = start.number_or(prefix + "late-value", c.late_worth);
+        c.worth = start.number_or(prefix + "credit", c.worth);
+        s.classes.push_back(c);
+        site.classes.emplace_back(start.text(prefix + "name"));
+    }
+    for (std::uint64_t i = 0, count = start.integer_or("tenants.count", 0); i < count; ++i) {
+        const std::string prefix = "tenants." + std::to_string(i) + ".";
+        s.tenants.push_back({start.number_or(prefix + "quota-per-s", 0)});
+        site.tenants.emplace_back(start.text(prefix + "name"));
+    }
+    if (start.has("membership-mode")) s.list_on_request = start.text("membership-mode") == "on_request";
+    s.siblings = static_cast<std::uint32_t>(start.integer_or("siblings", s.siblings));
+    s.max_attempts = static_cast<std::uint32_t>(start.integer_or("limits.max-attempts", s.max_attempts));
+    s.parallel_tries = start.flag_or("limits.parallel-tries", s.parallel_tries);
+    s.may_cancel = start.flag_or("limits.may-cancel", false);
+    s.cold_from = start.number_or("rules.cold-from", s.cold_from);
+    s.fall_multiple = start.number_or("rules.fall-multiple", s.fall_multiple);
+    s.warm_within = start.number_or("rules.warm-within-ms", s.warm_within);
+    s.fees.cross_zone = start.number_or("fees.cross-zone", s.fees.cross_zone);
+    return site;
+}
+
+Outcome read_outcome(const Message& message) { return named(message, "rc", outcomes); }
+
+// ---- Host -----------------------------------------------------------------------------------------------
+
+// One sidecar: its balancer and the names behind the integers the balancer sees. A request's name is kept
+// until it has ended and its attempts have; a server's while it is listed or an attempt on it is out.
+struct Host::Instance {
+    struct Request {
+        std::string name;
+        std::uint32_t out = 0;
+        bool ended = false;
+    };
+    struct Server {
+        std::string name;
+        std::uint32_t out = 0;
+        bool listed = false;
+    };
+
+    Instance(std::string name_, Site site_, std::uint64_t seed)
+        : name(std::move(name_)), site(std::move(site_)), balancer(site.settings, seed) {}
+
+    ServerId server(const std::string& server_name) {
+        const auto [at, fresh] = server_ids.try_emplace(server_name, next_server);
+        if (fresh) servers[next_server++].name = server_name;
+        return at->second;
+    }
+
+    void drop_request(RequestId id) {
+        const auto at = requests.find(id);
+        if (at == requests.end() || !at->second.ended || at->second.out > 0) return;
+        request_ids.erase(at->second.name);
+        requests.erase(at);
+    }
+    void end_request(RequestId id) {
+        if (const auto at = requests.find(id); at != requests.end()) at->second.ended = true;
+        drop_request(id);
+    }
+    void drop_server(ServerId id) {
+        const auto at = servers.find(id);
+        if (at == servers.end() || at->second.listed || at->second.out > 0) return;
+        server_ids.erase(at->second.name);
+        servers.erase(at);
+    }
+
+    std::string name;
+    Site site;
+    Balancer balancer;
+    std::unordered_map<std::string, RequestId> request_ids;
+    std::unordered_map<RequestId, Request> requests;
+    std::unordered_map<std::string, ServerId> server_ids;
+    std::map<ServerId, Server> servers;
+    RequestId next_request = 1;
+    ServerId next_server = 1;
+};
+
+Host::Host(std::istream& in, std::ostream& out, std::ostream& err) : in_(in), out_(out), err_(err) {}
+Host::~Host() = default;
+
+bool Host::next_line(std::string& line) {
+    if (!std::getline(in_, line)) return false;
+    ++line_;
+    return true;
+}
+
+int Host::run() {
+    try {
+        for (std::string line; next_line(line);) {
+            const Message mark(line, line_);
+            if (mark.kind() != "MARK") mark.fail(mark.kind(), "stands where MARK is due");
+            batch(mark);
+        }
+    } catch (const WireError& error) {
+        err_ << "hollybeam_adapter: " << error.what() << '\n';
+        return 2;
+    }
+    return 0;
+}
+
+void Host::batch(const Message& mark) {
+    now_ = mark.number("now-ms");
+    const std::uint64_t frame = mark.integer("frame");
+    reply_.clear();
+    for (std::string line;;) {
+        if (!next_line(line))
+            throw WireError("line " + std::to_string(line_) + ": MARK: input ends before 'OVER_TO_YOU'");
+        const Message message(line, line_);
+        if (message.kind() == "OVER_TO_YOU") break;
+        event(message);
+    }
+    out_ << reply_ << "END frame=" << frame << '\n' << std::flush;
+}
+
+void Host::event(const Message& message) {
+    const std::string_view kind = message.kind();
+    if (kind == "CATALOG") return catalog(message);
+    if (kind == "START") return start(message);
+    static const std::vector<std::string_view> known{"POWER_OFF",     "PEERS_KNOWN", "ACCEPT",
+                                                     "HEAD_RECEIVED", "VERDICT",     "EXPIRED",
+                                                     "TICK_DUE",      "HEALTH",      "MEMO"};
+    if (std::find(known.begin(), known.end(), kind) == known.end()) {
+        if (std::find(unknown_kinds_.begin(), unknown_kinds_.end(), kind) == unknown_kinds_.end()) {
+            unknown_kinds_.emplace_back(kind);
+            err_ << "hollybeam_adapter: line " << line_ << ": unknown event " << kind << " skipped\n";
+        }
+        return;
+    }
+    const auto at = instances_.find(message.text("who"));
+    if (at == instances_.end()) message.fail("who", "names an instance that is not running");
+    Instance& instance = at->second;
+    if (kind == "POWER_OFF") {
+        instances_.erase(at);
+    } else if (kind == "PEERS_KNOWN") {
+        list(instance, message);
+    } else if (kind == "ACCEPT") {
+        RequestArrived arrived;
+        arrived.time_left = message.number("time-left-ms");
+        arrived.effort = message.number_or("effort-ms", 0);
+        arrived.repeat = message.flag_or("repeat", false);
+        const auto& classes = instance.site.classes;
+        const auto grade = std::find(classes.begin(), classes.end(), message.text("grade"));
+        arrived.class_index = static_cast<std::uint32_t>(grade - classes.begin());
+        if (message.has("realm")) {
+            const auto& tenants = instance.site.tenants;
+            const auto realm = std::find(tenants.begin(), tenants.end(), message.text("realm"));
+            if (realm != tenants.end()) arrived.tenant = static_cast<std::uint32_t>(realm - tenants.begin());
+        }
+        const std::string rid(message.text("rid"));
+        const auto [known_id, fresh] = instance.request_ids.try_emplace(rid, instance.next_request);
+        if (!fresh) message.fail("rid", "was given before");
+        arrived.id = known_id->second;
+        instance.requests[instance.next_request++].name = rid;
+        give(instance, arrived);
+    } else if (kind == "HEAD_RECEIVED" || kind == "EXPIRED") {
+        const auto request = instance.request_ids.find(std::string(message.text("rid")));
+        const bool gone = kind == "EXPIRED";
+        const auto hop = gone ? 0 : static_cast<std::uint32_t>(message.integer("hop"));
+        if (request == instance.request_ids.end()) return;  // the instance has ended it meanwhile
+        const RequestId id = request->second;
+        give(instance, gone ? Event(ClientGone{id}) : Event(FirstByte{id, hop}));
+        if (gone) instance.end_request(id);
+    } else if (kind == "VERDICT") {
+        attempt_ended(instance, message);
+    } else if (kind == "TICK_DUE") {
+        give(instance, TimerFired{message.integer("nonce")});
+    }
+}
+
+void Host::catalog(const Message& message) {
+    const std::uint64_t ref = message.integer("ref");
+    if (ref >= catalogs_.size()) message.fail("ref", "is out of range");
+    const std::uint64_t count = message.integer("items");
+    std::vector<CatalogEntry> entries;
+    for (std::uint64_t i = 0; i < count; ++i) {
+        std::string line;
+        if (!next_line(line))
+            throw WireError("line " + std::to_string(line_) + ": CATALOG: input ends within 'items'");
+        const Message entry(line, line_);
+        if (entry.kind() != "M") message.fail("items", "does not match the entries that follow");
+        CatalogEntry e;
+        e.server = entry.text("server");
+        if (entry.has("rack-zone")) e.zone = entry.text("rack-zone");
+        if (entry.has("kind")) e.kind = entry.text("kind");
+        e.cell = static_cast<std::uint32_t>(entry.integer_or("pod", 0));
+        e.phase = named(entry, "phase", phases);
+        e.online_since = entry.number_or("online-since-ms", 0);
+        entries.push_back(std::move(e));
+    }
+    catalogs_[ref] = std::move(entries);
+}
+
+void Host::start(const Message& message) {
+    const std::string name(message.text("who"));
+    const std::uint64_t seed = message.integer("entropy");
+    instances_.erase(name);
+    try {
+        const auto at = instances_.try_emplace(name, name, read_site(message), seed).first;
+        give(at->second, Started{});
+    } catch (const std::invalid_argument& error) {
+        reply_ += "FAULT who=" + name + " words=" + error.what() + "\n";
+    }
+}
+
+void Host::list(Instance& instance, const Message& message) {
+    ServerList list{named(message, "mode", list_kinds), {}};
+    if (list.kind != ListKind::failed) {
+        const std::uint64_t ref = message.integer("ref");
+        if (ref >= catalogs_.size()) message.fail("ref", "is out of range");
+        if (list.kind != ListKind::incremental)
+            for (auto& [id, server] : instance.servers) server.listed = false;
+        for (const CatalogEntry& e : catalogs_[ref]) {
+            const ServerId id = instance.server(e.server);
+            instance.servers[id].listed = e.phase != Phase::off;
+            list.servers.push_back({id, number_of(instance.site.zones, e.zone),
+                                    number_of(instance.site.kinds, e.kind), e.cell, e.phase, e.online_since});
+        }
+    }
+    give(instance, list);
+    if (list.kind == ListKind::failed) return;
+    std::vector<ServerId> ids;
+    for (const auto& [id, server] : instance.servers) ids.push_back(id);
+    for (const ServerId id : ids) instance.drop_server(id);
+}
+
+void Host::attempt_ended(Instance& instance, const Message& message) {
+    AttemptEnded ended;
+    ended.attempt = static_cast<std::uint32_t>(message.integer("hop"));
+    ended.outcome = read_outcome(message);
+    ended.duration = message.number_or("duration-ms", 0);
+    ended.request_ended = message.flag_or("terminal", false);
+    const auto server = instance.server_ids.find(std::string(message.text("server")));
+    const auto request = instance.request_ids.find(std::string(message.text("rid")));
+    if (request == instance.request_ids.end()) return;
+    ended.id = request->second;
+    Instance::Request& held = instance.requests.at(ended.id);
+    if (held.out > 0) --held.out;
+    if (ended.request_ended) held.ended = true;
+    give(instance, ended);
+    instance.drop_request(ended.id);
+    if (server == instance.server_ids.end()) return;
+    const ServerId id = server->second;
+    if (Instance::Server& s = instance.servers.at(id); s.out > 0) --s.out;
+    instance.drop_server(id);
+}
+
+void Host::give(Instance& instance, const Event& event) {
+    actions_.clear();
+    try {
+        instance.balancer.handle(now_, event, actions_);
+    } catch (const std::exception& error) {
+        reply_ += "FAULT who=" + instance.name + " words=" + error.what() + "\n";
+        return;
+    }
+    for (const Action& action : actions_) put(instance, action);
+}
+
+void Host::put(Instance& instance, const Action& action) {
+    const auto head = [&](std::string_view kind) { (reply_ += kind) += " who=" + instance.name; };
+    const auto request = [&](std::string_view kind, RequestId id) {
+        head(kind);
+        reply_ += " rid=" + instance.requests.at(id).name;
+    };
+    const auto server = [&](ServerId id) { reply_ += " server=" + instance.servers.at(id).name; };
+    const auto time = [&](std::string_view field, Millis value) {
+        (reply_ += field) += '=';
+        add_number(reply_, value);
+    };
+    std::visit(Overloaded{[&](const Send& a) {
+                              request("DISPATCH", a.id);
+                              server(a.server);
+                              time(" try-until-ms", a.try_until);
+                              ++instance.requests.at(a.id).out;
+                              ++instance.servers.at(a.server).out;
+                          },
+                          [&](const Cancel& a) {
+                              request("ABANDON", a.id);
+                              reply_ += " hop=" + std::to_string(a.attempt);
+                          },
+                          [&](const Refuse& a) {
+                              request("DECLINE", a.id);
+                              if (a.retry_in > 0) time(" retry-in-ms", a.retry_in);
+                              instance.end_request(a.id);
+                          },
+                          [&](const GiveUp& a) {
+                              request("GIVE_UP", a.id);
+                              instance.end_request(a.id);
+                          },
+                          [&](const SetTimer& a) {
+                              head("AFTER");
+                              time(" at-ms", a.at);
+                              reply_ += " nonce=" + std::to_string(a.token);
+                          },
+                          [&](const Subscribe& a) {
+                              head("SUBSCRIBE");
+                              reply_ += a.active ? " active=1" : " active=0";
+                          },
+                          [&](const Log& a) {
+                              head("PRINT");
+                              reply_ += " words=";
+                              if (a.server) reply_ += instance.servers.at(*a.server).name + " ";
+                              for (const char c : a.text) reply_ += c == '\n' || c == '\r' ? ' ' : c;
+                          }},
+               action);
+    reply_ += '\n';
+}
+
+}  // namespace hollybeam::wire
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,212 @@
+// Rules 1 to 3 on every action, over seeded random but legal event sequences, and each rule's temptation.
+// The sequences pick outcomes at random; no server is modelled here.
+#include "rig.hpp"
+
+namespace hollybeam::test {
+namespace {
+
+class Dice {
+public:
+    explicit Dice(std::uint64_t seed) : state_(seed * 2654435761u + 1) {}
+    std::uint32_t below(std::uint32_t n) {
+        state_ = state_ * 6364136223846793005u + 1442695040888963407u;
+        return static_cast<std::uint32_t>(state_ >> 33) % n;
+    }
+
+private:
+    std::uint64_t state_;
+};
+
+Settings mixed(bool parallel) {
+    Settings s = make_settings({make_class(Effect::repeatable), make_class(Effect::once),
+                                make_class(Effect::by_key, DedupScope::all, 700),
+                                make_class(Effect::by_key, DedupScope::zone, 700),
+                                make_class(Effect::by_key, DedupScope::cell, 700)});
+    s.parallel_tries = parallel;
+    return s;
+}
+
+void end_random(Rig& rig, Dice& dice) {
+    std::vector<std::pair<RequestId, std::uint32_t>> out;
+    for (const auto& [id, r] : rig.requests)
+        for (std::uint32_t i = 0; i < r.sent.size(); ++i)
+            if (r.sent[i].out) out.emplace_back(id, i);
+    if (out.empty()) return;
+    const auto [id, attempt] = out[dice.below(static_cast<std::uint32_t>(out.size()))];
+    static const Outcome outcomes[] = {Outcome::completed, Outcome::completed,          Outcome::completed,
+                                       Outcome::errored,   Outcome::saturated,          Outcome::overdue,
+                                       Outcome::severed,   Outcome::refused_connection, Outcome::superseded};
+    const bool closed = rig.closed(rig.requests.at(id));
+    rig.end_attempt(id, attempt, closed ? Outcome::recalled : outcomes[dice.below(9)]);
+}
+
+void change_list(Rig& rig, Dice& dice) {
+    const ServerId id = 1 + dice.below(10);
+    const Phase phases[] = {Phase::on, Phase::on, Phase::fading, Phase::off};
+    const Millis since = dice.below(2) ? rig.now - dice.below(5000) : 0;
+    if (dice.below(5)) {
+        rig.list(ListKind::incremental, {{id, id % 3, 0, id % 2, phases[dice.below(4)], since}});
+    } else {
+        std::vector<ServerInfo> infos;
+        for (ServerId s = 1; s <= 10; ++s)
+            if (dice.below(3)) infos.push_back({s, s % 3, 0, s % 2, Phase::on, 0});
+        rig.list(dice.below(4) ? ListKind::full : ListKind::failed, infos);
+    }
+}
+
+void random_life(Rig& rig, Dice& dice, int steps) {
+    rig.give(Started{});
+    rig.list(ListKind::saved, make_servers(6));
+    for (int i = 0; i < steps; ++i) {
+        const std::uint32_t what = dice.below(100);
+        if (what < 45) {
+            rig.request(dice.below(6), 20 + dice.below(1500));  // class 5 is unknown
+        } else if (what < 85) {
+            end_random(rig, dice);
+        } else if (what < 88) {
+            change_list(rig, dice);
+        } else if (what < 90 && !rig.requests.empty()) {
+            auto at = rig.requests.begin();
+            std::advance(at, dice.below(static_cast<std::uint32_t>(rig.requests.size())));
+            if (!rig.closed(at->second)) {
+                at->second.gone = true;
+                rig.give(ClientGone{at->first});
+            }
+        } else {
+            rig.pass(dice.below(what == 99 ? 4000 : 60));
+        }
+        for (auto at = rig.requests.begin(); at != rig.requests.end();)  // keeps the rig quick
+            at = rig.closed(at->second) && !rig.out(at->first) ? rig.requests.erase(at) : std::next(at);
+    }
+}
+
+TEST(Rules, HoldOverRandomLegalLives) {
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        SCOPED_TRACE(seed);
+        Rig rig(mixed(seed % 2), seed);
+        Dice dice(seed);
+        random_life(rig, dice, 1500);
+        rig.settle();
+        if (::testing::Test::HasFailure()) return;
+    }
+}
+
+TEST(Rules, SameEventsGiveTheSameActions) {
+    std::vector<std::string> traces;
+    for (int run = 0; run < 2; ++run) {
+        Rig rig(mixed(false), 5);
+        Dice dice(5);
+        std::string trace;
+        rig.list(ListKind::full, make_servers(6));
+        for (int i = 0; i < 500; ++i) {
+            const RequestId id = rig.request(dice.below(5));
+            trace += rig.out(id) ? std::to_string(rig.where(id)) + "," : "-,";
+            end_random(rig, dice);
+            rig.now += 1;
+        }
+        traces.push_back(trace);
+    }
+    EXPECT_EQ(traces[0], traces[1]);
+}
+
+TEST(Rules, MemoryStaysBoundedOverALongLife) {
+    Rig rig(mixed(false), 3);
+    Dice dice(3);
+    ServerId fresh = 100;
+    for (int round = 0; round < 60; ++round) {
+        random_life(rig, dice, 300);
+        rig.list(ListKind::full, {{fresh, 0, 0, 0, Phase::on, 0}, {fresh + 1, 1, 0, 1, Phase::on, 0}});
+        fresh += 2;
+        rig.pass(10000);
+    }
+    rig.settle();
+    EXPECT_EQ(rig.balancer.held().requests, 0U);
+    EXPECT_LE(rig.balancer.held().servers, 2U);
+    EXPECT_LE(rig.balancer.held().timers, 1U);
+}
+
+// ---- One temptation each --------------------------------------------------------------------------------
+
+Rig three(RequestClass kind, std::uint64_t seed = 1) {
+    Rig rig(make_settings({kind}), seed);
+    rig.list(ListKind::full, make_servers(3));
+    return rig;
+}
+
+TEST(Rule2, OnceIsNeverSentAgainNorRefusedAfterAPossibleRun) {
+    for (const Outcome outcome : {Outcome::errored, Outcome::overdue, Outcome::severed}) {
+        Rig rig = three(make_class(Effect::once));
+        const RequestId id = rig.request();
+        rig.end(id, outcome);
+        EXPECT_EQ(rig.sends(id), 1U);
+        EXPECT_EQ(rig.requests.at(id).answers, 1);
+        EXPECT_FALSE(rig.requests.at(id).refused);
+    }
+}
+
+TEST(Rule2, UnknownClassIsTreatedAsOnce) {
+    Rig rig = three(make_class(Effect::repeatable));
+    const RequestId id = rig.request(9);
+    rig.end(id, Outcome::errored);
+    EXPECT_EQ(rig.sends(id), 1U);
+    EXPECT_FALSE(rig.requests.at(id).refused);
+}
+
+TEST(Rule2, RepeatableIsSentAgainAfterAnything) {
+    for (const Outcome outcome : {Outcome::errored, Outcome::severed, Outcome::saturated}) {
+        Rig rig = three(make_class(Effect::repeatable));
+        const RequestId id = rig.request();
+        rig.end(id, outcome);
+        EXPECT_EQ(rig.sends(id), 2U);
+    }
+}
+
+TEST(Rule2, ByKeyStaysInItsZoneAndWindow) {
+    Rig rig(make_settings({make_class(Effect::by_key, DedupScope::zone, 300)}));
+    rig.list(ListKind::full, make_servers(9));
+    for (int i = 0; i < 30; ++i) {
+        const RequestId id = rig.request();
+        const ServerId first = rig.where(id);
+        rig.end(id, i % 2 ? Outcome::errored : Outcome::severed, i % 3 ? 10 : 400);
+        if (i % 3) {
+            EXPECT_EQ(rig.where(id) % 3, first % 3);
+        } else {
+            EXPECT_EQ(rig.sends(id), 1U) << "the window has passed";
+        }
+        while (rig.out(id)) rig.end(id, Outcome::completed, 1);
+    }
+}
+
+TEST(Rule2, ByKeyZoneIsNotRefusedAfterAPossibleRunButByKeyAllIs) {
+    for (const DedupScope scope : {DedupScope::zone, DedupScope::all}) {
+        Rig rig(make_settings({make_class(Effect::by_key, scope)}));
+        rig.list(ListKind::full, make_servers(1));
+        const RequestId id = rig.request(0, 300);
+        rig.end(id, Outcome::errored, 10);
+        while (rig.out(id)) rig.end(id, Outcome::errored, 10);
+        rig.settle();
+        EXPECT_EQ(rig.requests.at(id).refused, scope == DedupScope::all);
+    }
+}
+
+TEST(Rule3, NothingIsSentToADrainingServer) {
+    Rig rig = three(make_class(Effect::repeatable));
+    rig.list(ListKind::incremental, {{1, 0, 0, 0, Phase::fading, 0}});
+    for (int i = 0; i < 50; ++i) {
+        const RequestId id = rig.request();
+        EXPECT_NE(rig.where(id), 1U);
+        rig.end(id, Outcome::completed);
+    }
+}
+
+TEST(Rule1, AHeldRequestIsAnsweredInTime) {
+    Rig rig(make_settings({make_class(Effect::once)}));
+    const RequestId id = rig.request(0, 50);
+    EXPECT_EQ(rig.requests.at(id).answers, 0);
+    rig.settle();
+    EXPECT_EQ(rig.requests.at(id).answers, 1);
+    EXPECT_TRUE(rig.requests.at(id).refused) << "it never went out, so trying again is harmless";
+}
+
+}  // namespace
+}  // namespace hollybeam::test
