A real sidecar on sockets around the unchanged module

One process, one loop: listener, upstream pool, discovery and the sidecar that turns sockets into events and actions into calls. Reading the settings moved from the wire to src/site, so that START and the JSON configuration go through the same mapping.

A hand-made chunked stream was read without error, which ruled out the chunk reading; the error's text was 'body limit exceeded': Beast 1.74 compares a Content-Length with a limit of none as with the smallest number, and the whole list has a Content-Length. With a number as the limit the logs are empty.

--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,192 @@
+#include "net/config.hpp"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace elmbay {
+
+namespace {
+
+using Json = nlohmann::json;
+using hollybeam::Phase;
+
+[[noreturn]] void fail(const std::string& field, const std::string& what) {
+    throw ConfigError("field '" + field + "' " + what);
+}
+
+const Json& member(const Json& object, const std::string& name, const std::string& path) {
+    const auto at = object.find(name);
+    if (at == object.end()) fail(path + name, "is missing");
+    return *at;
+}
+
+std::string text(const Json& value, const std::string& field) {
+    if (!value.is_string()) fail(field, "is not a text");
+    return value.get<std::string>();
+}
+
+double number(const Json& value, const std::string& field) {
+    if (!value.is_number()) fail(field, "is not a number");
+    return value.get<double>();
+}
+
+std::uint64_t whole(const Json& value, const std::string& field) {
+    const double d = number(value, field);
+    if (!(d >= 0 && d < 1.8e19) || d != std::floor(d)) fail(field, "is not a whole number");
+    return value.is_number_unsigned() ? value.get<std::uint64_t>() : static_cast<std::uint64_t>(d);
+}
+
+Endpoint endpoint(const std::string& value, const std::string& field) {
+    const auto colon = value.rfind(':');
+    std::uint16_t port = 0;
+    if (colon == std::string::npos) fail(field, "is not address:port");
+    const char* end = value.data() + value.size();
+    const auto [at, wrong] = std::from_chars(value.data() + colon + 1, end, port);
+    if (wrong != std::errc() || at != end) fail(field, "has no port that can be read");
+    std::string host = value.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(host, error);
+    if (error) fail(field, "has no address that can be read");
+    return {address, port};
+}
+
+Target target(const Json& entry, const std::string& path) {
+    if (!entry.is_object()) fail(path, "is not an object");
+    Target t;
+    t.uid = text(member(entry, "uid", path + "."), path + ".uid");
+    if (t.uid.empty()) fail(path + ".uid", "is empty");
+    const std::string state = text(member(entry, "state", path + "."), path + ".state");
+    if (state == "active")
+        t.phase = Phase::on;
+    else if (state == "leaving")
+        t.phase = Phase::fading;
+    else if (state == "left")
+        t.phase = Phase::off;
+    else
+        fail(path + ".state", "is not a known word");
+    // One that has left needs no address.
+    if (t.phase != Phase::off || entry.contains("endpoint"))
+        t.endpoint =
+            endpoint(text(member(entry, "endpoint", path + "."), path + ".endpoint"), path + ".endpoint");
+    if (const auto at = entry.find("az"); at != entry.end()) t.zone = text(*at, path + ".az");
+    if (const auto at = entry.find("model"); at != entry.end()) t.kind = text(*at, path + ".model");
+    if (const auto at = entry.find("pod_group"); at != entry.end())
+        t.cell = static_cast<std::uint32_t>(whole(*at, path + ".pod_group"));
+    if (const auto at = entry.find("boot_ms"); at != entry.end())
+        t.online_since = number(*at, path + ".boot_ms");
+    return t;
+}
+
+Listing listing(const Json& json, const std::string& path) {
+    if (!json.is_object()) fail(path.empty() ? "list" : path, "is not an object");
+    const std::string prefix = path.empty() ? "" : path + ".";
+    Listing list;
+    list.rev = whole(member(json, "rev", prefix), prefix + "rev");
+    const Json& all = member(json, "all", prefix);
+    if (!all.is_boolean()) fail(prefix + "all", "is not a truth value");
+    list.all = all.get<bool>();
+    const Json& targets = member(json, "targets", prefix);
+    if (!targets.is_array()) fail(prefix + "targets", "is not a list");
+    for (std::size_t i = 0; i < targets.size(); ++i)
+        list.targets.push_back(target(targets[i], prefix + "targets." + std::to_string(i)));
+    return list;
+}
+
+// Settings in the form of the simulator's first message: path and value, lists of objects with their count.
+void flatten(const Json& value, const std::string& path,
+             std::vector<std::pair<std::string, std::string>>& out) {
+    if (value.is_object()) {
+        for (const auto& [name, inner] : value.items())
+            flatten(inner, path.empty() ? name : path + "." + name, out);
+    } else if (value.is_array() && !value.empty() && value.front().is_object()) {
+        out.emplace_back(path + ".count", std::to_string(value.size()));
+        for (std::size_t i = 0; i < value.size(); ++i) flatten(value[i], path + "." + std::to_string(i), out);
+    } else if (value.is_array()) {
+        std::string joined;
+        for (const Json& item : value)
+            joined +=
+                (joined.empty() ? "" : ",") + (item.is_string() ? item.get<std::string>() : item.dump());
+        out.emplace_back(path, joined);
+    } else if (value.is_string()) {
+        out.emplace_back(path, value.get<std::string>());
+    } else if (value.is_number_float() && std::floor(value.get<double>()) == value.get<double>() &&
+               std::abs(value.get<double>()) < 1e15) {
+        out.emplace_back(path, std::to_string(static_cast<std::int64_t>(value.get<double>())));
+    } else if (!value.is_null()) {
+        out.emplace_back(path, value.dump());
+    }
+}
+
+hollybeam::Site site(const Json& settings) {
+    std::vector<std::pair<std::string, std::string>> pairs;
+    flatten(settings, "", pairs);
+    hollybeam::Fields fields("settings");
+    for (const auto& [name, value] : pairs) fields.add(name, value);
+    try {
+        return hollybeam::read_site(fields);
+    } catch (const hollybeam::FieldError& error) {
+        throw ConfigError(error.what());
+    }
+}
+
+std::uint64_t seed(const Json& value) {
+    if (value.is_number_unsigned()) return value.get<std::uint64_t>();
+    const std::string digits = text(value, "seed");
+    std::uint64_t result = 0;
+    const auto [end, wrong] = std::from_chars(digits.data(), digits.data() + digits.size(), result, 16);
+    if (wrong != std::errc() || end != digits.data() + digits.size())
+        fail("seed", "is not a hexadecimal number");
+    return result;
+}
+
+Json parse(const std::string& text, const std::string& what) {
+    Json json = Json::parse(text, nullptr, false);
+    if (json.is_discarded()) throw ConfigError(what + " is not JSON");
+    return json;
+}
+
+}  // namespace
+
+Listing parse_listing(const std::string& text) { return listing(parse(text, "the list"), ""); }
+
+Config parse_config(const std::string& source) {
+    const Json json = parse(source, "the configuration");
+    if (!json.is_object()) throw ConfigError("the configuration is not an object");
+    Config c;
+    if (const auto at = json.find("name"); at != json.end()) c.name = text(*at, "name");
+    c.listen = endpoint(text(member(json, "listen", ""), "listen"), "listen");
+    c.discovery = endpoint(text(member(json, "discovery", ""), "discovery"), "discovery");
+    c.seed = seed(member(json, "seed", ""));
+    if (const auto limits = json.find("limits"); limits != json.end()) {
+        if (!limits->is_object()) fail("limits", "is not an object");
+        if (const auto at = limits->find("sockets"); at != limits->end())
+            c.sockets = static_cast<std::size_t>(whole(*at, "limits.sockets"));
+    }
+    const Json& settings = member(json, "settings", "");
+    if (!settings.is_object()) fail("settings", "is not an object");
+    c.site = site(settings);
+    if (const auto at = json.find("known"); at != json.end() && !at->is_null())
+        c.known = listing(*at, "known");
+    return c;
+}
+
+Config load_config(const std::function<const char*(const char*)>& get) {
+    const char* path = get("RELAY_CONFIG");
+    if (!path) fail("RELAY_CONFIG", "is not set");
+    const std::ifstream file(path);
+    std::ostringstream content;
+    content << file.rdbuf();
+    if (!file) fail("RELAY_CONFIG", std::string("names a file that can't be read: ") + path);
+    Config c = parse_config(content.str());
+    if (const char* name = get("RELAY_NAME")) c.name = name;
+    if (const char* listen = get("RELAY_LISTEN")) c.listen = endpoint(listen, "RELAY_LISTEN");
+    if (const char* discovery = get("RELAY_DISCOVERY")) c.discovery = endpoint(discovery, "RELAY_DISCOVERY");
+    return c;
+}
+
+}  // namespace elmbay
--- /dev/null
+++ b/src/net/config.hpp
@@ -0,0 +1,55 @@
+// What a real sidecar is told: environment and JSON, turned into types.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "site.hpp"
+
+namespace elmbay {
+
+using hollybeam::Millis;
+using Endpoint = boost::asio::ip::tcp::endpoint;
+
+// Configuration or discovery's data that can't be used; what() names the field.
+struct ConfigError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// A server as discovery describes it: uid is who it is, endpoint only where this sidecar reaches it.
+struct Target {
+    std::string uid;
+    Endpoint endpoint;
+    std::string zone;
+    std::string kind;
+    std::uint32_t cell = 0;
+    hollybeam::Phase phase = hollybeam::Phase::on;
+    Millis online_since = 0;
+};
+struct Listing {
+    std::uint64_t rev = 0;
+    bool all = false;
+    std::vector<Target> targets;
+};
+
+struct Config {
+    std::string name;
+    Endpoint listen;
+    Endpoint discovery;
+    std::uint64_t seed = 0;
+    std::size_t sockets = 1024;  // file descriptors that the process may hold
+    hollybeam::Site site;
+    Listing known;
+};
+
+// Both throw ConfigError.
+Listing parse_listing(const std::string& text);
+Config parse_config(const std::string& text);
+
+// Reads the environment (by way of get, which returns nullptr for what is not set) and the file it names.
+Config load_config(const std::function<const char*(const char*)>& get);
+
+}  // namespace elmbay
--- /dev/null
+++ b/src/net/discovery.cpp
@@ -0,0 +1,217 @@
+#include "net/discovery.hpp"
+
+#include <algorithm>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <iostream>
+#include <limits>
+#include <optional>
+
+namespace elmbay {
+
+namespace {
+
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using Error = boost::system::error_code;
+
+constexpr Millis kFirstWait = 50, kMostWait = 2000;  // between two tries
+// An empty line comes every 2 s; after several are missing the other side is taken for gone.
+constexpr Millis kSilence = 7000;
+constexpr std::size_t kMostLine = 8 * 1024 * 1024;
+
+}  // namespace
+
+// One connection: the whole list first, if that is wanted, then the watch, read in whatever pieces it comes.
+class Discovery::Call : public std::enable_shared_from_this<Call> {
+public:
+    explicit Call(Discovery& owner) : owner_(owner), socket_(owner.io_) {}
+
+    void start() {
+        expect();
+        socket_.async_connect(owner_.endpoint_, [self = shared_from_this()](Error error) {
+            if (self->closed_) return;
+            if (error) return self->end("can't be reached");
+            Error ignored;
+            self->socket_.set_option(tcp::no_delay(true), ignored);
+            self->ask();
+        });
+    }
+
+    void close() {
+        if (closed_) return;
+        closed_ = true;
+        owner_.timers_.cancel(silence_);
+        Error ignored;
+        socket_.close(ignored);
+        owner_.budget_.give_back();
+    }
+
+private:
+    void ask() {
+        request_ = {};
+        request_.version(11);
+        request_.method(http::verb::get);
+        request_.set(http::field::host, "discovery");
+        watch_ = !owner_.whole_;
+        request_.target(watch_ ? "/discovery/hosts?stream=1&index=" + std::to_string(owner_.rev_)
+                               : std::string("/discovery/hosts"));
+        text_.clear();
+        http::async_write(socket_, request_, [self = shared_from_this()](Error error, std::size_t) {
+            if (self->closed_) return;
+            if (error) return self->end("broke off");
+            self->parser_.emplace();
+            // A watch has no end; each line has its own limit. Not boost::none: Beast 1.74 compares a
+            // Content-Length with it as with the smallest number and refuses the whole list.
+            self->parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+            self->more();
+        });
+    }
+
+    void more() {
+        if (parser_->is_header_done()) {
+            parser_->get().body().data = piece_.data();
+            parser_->get().body().size = piece_.size();
+            parser_->get().body().more = true;
+        }
+        const auto got = [self = shared_from_this()](Error error, std::size_t) { self->on_read(error); };
+        if (parser_->is_header_done())
+            http::async_read_some(socket_, buffer_, *parser_, got);
+        else
+            http::async_read_header(socket_, buffer_, *parser_, got);
+    }
+
+    void on_read(Error error) {
+        if (closed_) return;
+        if (error == http::error::need_buffer) error = {};
+        if (error) return end(error == http::error::end_of_stream ? "ended" : "broke off");
+        expect();
+        if (parser_->get().result() != http::status::ok) return end("answered with another status");
+        if (parser_->get().body().data) {
+            const std::size_t got = piece_.size() - parser_->get().body().size;
+            text_.append(piece_.data(), got);
+            if (!lines()) return;
+        }
+        if (!parser_->is_done()) return more();
+        if (watch_) return end("ended");
+        // The whole list is there. It becomes the watch's start.
+        const bool again = parser_->keep_alive();
+        if (!take(text_)) return;
+        owner_.whole_ = false;
+        if (!again) return end("ended");
+        ask();
+    }
+
+    // Takes all whole lines of a watch; what is left waits for its rest. False if the call is over.
+    bool lines() {
+        if (text_.size() > kMostLine) {
+            end("sent a line too long");
+            return false;
+        }
+        if (!watch_) return true;
+        std::size_t from = 0;
+        for (std::size_t to; (to = text_.find('\n', from)) != std::string::npos; from = to + 1) {
+            std::string line = text_.substr(from, to - from);
+            if (!line.empty() && line.back() == '\r') line.pop_back();
+            if (!line.empty() && !take(line)) return false;  // an empty one is a heartbeat
+        }
+        text_.erase(0, from);
+        return true;
+    }
+
+    // Broken data must not touch the list that is held: it is dropped whole, and asked for again.
+    bool take(const std::string& text) {
+        Listing listing;
+        try {
+            listing = parse_listing(text);
+        } catch (const ConfigError& error) {
+            std::cerr << "elmbay: discovery: " << error.what() << "; the old list stays" << std::endl;
+            owner_.whole_ = true;
+            end("sent what can't be read");
+            return false;
+        }
+        owner_.rev_ = listing.rev;
+        owner_.wait_ = kFirstWait;
+        owner_.handlers_.listed(std::move(listing));
+        return !closed_;
+    }
+
+    void expect() {
+        owner_.timers_.cancel(silence_);
+        silence_ = owner_.timers_.set(owner_.clock_.now() + kSilence, [self = shared_from_this()] {
+            self->silence_ = {};
+            self->end("is silent");
+        });
+    }
+
+    void end(const char* why) {
+        if (closed_) return;
+        close();
+        owner_.ended(why);
+    }
+
+    Discovery& owner_;
+    tcp::socket socket_;
+    boost::beast::flat_buffer buffer_;
+    http::request<http::empty_body> request_;
+    std::optional<http::response_parser<http::buffer_body>> parser_;
+    std::array<char, 8192> piece_{};
+    std::string text_;
+    bool watch_ = true, closed_ = false;
+    TimerQueue::Key silence_{};
+};
+
+Discovery::Discovery(asio::io_context& io, const Endpoint& endpoint, SocketBudget& budget, TimerQueue& timers,
+                     const Clock& clock, std::uint64_t rev, std::uint64_t seed, bool reconnect,
+                     Handlers handlers)
+    : io_(io),
+      endpoint_(endpoint),
+      budget_(budget),
+      timers_(timers),
+      clock_(clock),
+      rev_(rev),
+      whole_(rev == 0),
+      reconnect_(reconnect),
+      random_(seed),
+      handlers_(std::move(handlers)),
+      wait_(kFirstWait) {}
+
+Discovery::~Discovery() = default;
+
+void Discovery::watch() {
+    watching_ = true;
+    timers_.cancel(again_);
+    if (!call_) begin();
+}
+
+void Discovery::stop() {
+    watching_ = false;
+    timers_.cancel(again_);
+    if (const auto call = std::exchange(call_, nullptr)) call->close();
+}
+
+void Discovery::begin() {
+    if (!budget_.take()) return ended("has no socket");
+    call_ = std::make_shared<Call>(*this);
+    call_->start();
+}
+
+void Discovery::ended(const char* why) {
+    call_.reset();
+    if (!watching_) return;
+    if (wait_ > kFirstWait * 2) std::cerr << "elmbay: discovery " << why << "; trying again" << std::endl;
+    if (reconnect_) {
+        // Not in step with the other sidecars: all lose their watch at the same moment.
+        const Millis wait = wait_ * std::uniform_real_distribution<>(0.5, 1.5)(random_);
+        wait_ = std::min(wait_ * 2, kMostWait);
+        again_ = timers_.set(clock_.now() + wait, [this] {
+            again_ = {};
+            begin();
+        });
+    } else {
+        watching_ = false;
+    }
+    handlers_.failed();
+}
+
+}  // namespace elmbay
--- /dev/null
+++ b/src/net/discovery.hpp
@@ -0,0 +1,56 @@
+// The list of servers: fetched, watched, and watched again after every break.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+
+#include "net/config.hpp"
+#include "net/sockets.hpp"
+#include "net/timing.hpp"
+
+namespace elmbay {
+
+class Discovery {
+public:
+    struct Handlers {
+        std::function<void(Listing)> listed;
+        std::function<void()> failed;  // a call or the watch has ended; the old list stays in force
+    };
+
+    // With reconnect it comes back by itself, after a wait that grows and is jittered; else each call of
+    // watch() is one try.
+    Discovery(asio::io_context& io, const Endpoint& endpoint, SocketBudget& budget, TimerQueue& timers,
+              const Clock& clock, std::uint64_t rev, std::uint64_t seed, bool reconnect, Handlers handlers);
+    ~Discovery();
+    Discovery(const Discovery&) = delete;
+    Discovery& operator=(const Discovery&) = delete;
+
+    void watch();
+    void stop();
+
+private:
+    class Call;
+
+    void begin();
+    void line(const std::string& text);
+    void ended(const char* why);
+
+    asio::io_context& io_;
+    const Endpoint endpoint_;
+    SocketBudget& budget_;
+    TimerQueue& timers_;
+    const Clock& clock_;
+    std::uint64_t rev_;
+    bool whole_;  // ask for the whole list before the next watch
+    const bool reconnect_;
+    std::mt19937_64 random_;
+    Handlers handlers_;
+    std::shared_ptr<Call> call_;
+    TimerQueue::Key again_{};
+    Millis wait_;
+    bool watching_ = false;
+};
+
+}  // namespace elmbay
--- /dev/null
+++ b/src/net/timing.hpp
@@ -0,0 +1,92 @@
+// Time for the sidecar: one clock and one queue of timers.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "hollybeam/balancer.hpp"
+
+namespace elmbay {
+
+namespace asio = boost::asio;
+using hollybeam::Millis;
+
+// Steady time, offset once to Unix milliseconds: it never goes back, and the list's boot_ms compare with it.
+class Clock {
+public:
+    using Steady = std::chrono::steady_clock;
+
+    Millis now() const { return offset_ + millis(Steady::now().time_since_epoch()); }
+    Steady::time_point steady(Millis at) const {
+        return Steady::time_point(std::chrono::duration_cast<Steady::duration>(
+            std::chrono::duration<double, std::milli>(at - offset_)));
+    }
+
+private:
+    template <class D>
+    static Millis millis(D span) {
+        return std::chrono::duration<double, std::milli>(span).count();
+    }
+
+    Millis offset_ = millis(std::chrono::system_clock::now().time_since_epoch()) -
+                     millis(Steady::now().time_since_epoch());
+};
+
+// All timers of the process behind one system timer. A callback runs at its time or after, never before, in
+// order of time and then of setting.
+class TimerQueue {
+public:
+    using Key = std::pair<Millis, std::uint64_t>;  // {0, 0} names no timer
+
+    TimerQueue(asio::io_context& io, const Clock& clock) : timer_(io), clock_(clock) {}
+
+    Key set(Millis at, std::function<void()> run) {
+        const Key key{at, ++last_};
+        waiting_.emplace(key, std::move(run));
+        if (armed_ == 0 || at < armed_) arm();
+        return key;
+    }
+    // Takes the timer back, if it has not run, and makes the key name none.
+    void cancel(Key& key) {
+        waiting_.erase(key);
+        key = {};
+    }
+    void clear() {
+        waiting_.clear();
+        timer_.cancel();
+    }
+
+private:
+    void arm() {
+        armed_ = waiting_.empty() ? 0 : waiting_.begin()->first.first;
+        if (armed_ == 0) return;
+        timer_.expires_at(clock_.steady(armed_) + std::chrono::microseconds(1));
+        timer_.async_wait([this](boost::system::error_code error) {
+            if (!error) fire();
+        });
+    }
+    void fire() {
+        // Only what was due on entry: callbacks that set timers for at once must not keep the loop here.
+        const Millis now = clock_.now();
+        while (!waiting_.empty() && waiting_.begin()->first.first <= now) {
+            const auto run = std::move(waiting_.begin()->second);
+            waiting_.erase(waiting_.begin());
+            armed_ = now;  // no callback needs to arm while this loop runs
+            run();
+        }
+        arm();
+    }
+
+    asio::steady_timer timer_;
+    const Clock& clock_;
+    std::map<Key, std::function<void()>> waiting_;
+    std::uint64_t last_ = 0;
+    Millis armed_ = 0;  // when the system timer goes off; 0: it is not set
+};
+
+}  // namespace elmbay
--- /dev/null
+++ b/src/net/upstream.hpp
@@ -0,0 +1,82 @@
+// The servers' side: a pool of connections for each server, and one attempt's life up to its outcome.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+
+#include "net/listener.hpp"
+#include "net/sockets.hpp"
+#include "net/timing.hpp"
+
+namespace elmbay {
+
+using hollybeam::Outcome;
+using hollybeam::ServerId;
+
+// One attempt: number of a request.
+struct AttemptKey {
+    RequestId request = 0;
+    std::uint32_t number = 0;
+    auto operator<=>(const AttemptKey&) const = default;
+};
+
+class Upstream {
+public:
+    struct Limits {
+        Millis connect_timeout = 250;
+        Millis idle_close = 15000;  // servers close what has been idle for so long
+    };
+    // Called once for each start(), never from within it. The response is there if outcome is completed.
+    using Ended = std::function<void(AttemptKey, Outcome, Millis duration, HttpResponse response)>;
+
+    Upstream(asio::io_context& io, SocketBudget& budget, TimerQueue& timers, const Clock& clock,
+             Limits limits, Ended ended);
+    ~Upstream();
+    Upstream(const Upstream&) = delete;
+    Upstream& operator=(const Upstream&) = delete;
+
+    // What the list says of a server. One that may not be sent to gets no further byte of a new attempt.
+    void set_server(ServerId id, const Endpoint& endpoint, bool may_send);
+    void forget_server(ServerId id);  // only one without attempts
+    std::size_t attempts_at(ServerId id) const;
+
+    // Of a server that set_server() has named. Ends as overdue at until, unless something else ends it
+    // before.
+    void start(AttemptKey key, ServerId server, Millis until, std::shared_ptr<const HttpRequest> request);
+    // Closes the attempt's connection before it returns; the attempt ends as recalled.
+    void cancel(AttemptKey key);
+
+    std::size_t idle_connections() const;
+
+private:
+    class Connection;
+    struct Server;
+    struct Attempt;
+
+    void assign(Server& server);
+    void connect(Server& server);
+    void write(Attempt& attempt, const std::shared_ptr<Connection>& connection);
+    void expired(AttemptKey key);
+    void end(Attempt& attempt, Outcome outcome, HttpResponse response = {});
+    void connection_up(const std::shared_ptr<Connection>& connection);
+    void connection_failed(const std::shared_ptr<Connection>& connection);
+    void make_idle(const std::shared_ptr<Connection>& connection);
+    void retire_idle();
+    void drop();
+    bool shed();
+
+    asio::io_context& io_;
+    SocketBudget& budget_;
+    TimerQueue& timers_;
+    const Clock& clock_;
+    Limits limits_;
+    Ended ended_;
+    std::map<ServerId, Server> servers_;
+    std::map<AttemptKey, std::unique_ptr<Attempt>> attempts_;
+};
+
+}  // namespace elmbay
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -10,32 +10,11 @@
 
 namespace {
 
-template <class T>
-bool parse(std::string_view text, T& value) {
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    return error == std::errc() && end == text.data() + text.size();
-}
-
-template <class T>
-using Names = std::vector<std::pair<std::string_view, T>>;
-
-template <class T>
-T named(const Message& message, std::string_view field, const Names<T>& names) {
-    const std::string_view text = message.text(field);
-    for (const auto& [name, value] : names)
-        if (name == text) return value;
-    message.fail(field, "is not a known word");
-}
-
 const Names<Phase> phases{{"on", Phase::on}, {"fading", Phase::fading}, {"off", Phase::off}};
 const Names<ListKind> list_kinds{{"INCREMENTAL", ListKind::incremental},
                                  {"FULL", ListKind::full},
                                  {"SAVED", ListKind::saved},
                                  {"FAILED", ListKind::failed}};
-const Names<Effect> effects{
-    {"repeatable", Effect::repeatable}, {"by_key", Effect::by_key}, {"once", Effect::once}};
-const Names<DedupScope> scopes{
-    {"all", DedupScope::all}, {"zone", DedupScope::zone}, {"cell", DedupScope::cell}};
 const Names<Outcome> outcomes{{"completed", Outcome::completed},
                               {"errored", Outcome::errored},
                               {"saturated", Outcome::saturated},
@@ -45,16 +24,6 @@
                               {"recalled", Outcome::recalled},
                               {"superseded", Outcome::superseded}};
 
-std::vector<std::string> split(std::string_view list) {
-    std::vector<std::string> items;
-    while (!list.empty()) {
-        const auto comma = list.find(',');
-        items.emplace_back(list.substr(0, comma));
-        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
-    }
-    return items;
-}
-
 void add_number(std::string& line, double value) {
     char buffer[40];
     const auto end = std::to_chars(buffer, buffer + sizeof buffer, value, std::chars_format::fixed, 3).ptr;
@@ -72,107 +41,31 @@
 
 // ---- Codec ----------------------------------------------------------------------------------------------
 
-Message::Message(std::string_view line, std::size_t number) : line_(number) {
+namespace {
+
+std::string_view without_return(std::string_view line) {
     if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-    const auto space = line.find(' ');
-    kind_ = line.substr(0, space);
-    if (kind_.empty()) throw WireError("line " + std::to_string(line_) + ": empty line");
-    std::string_view rest = space == std::string_view::npos ? std::string_view() : line.substr(space + 1);
+    return line;
+}
+
+std::string_view first_word(std::string_view line) { return line.substr(0, line.find(' ')); }
+
+}  // namespace
+
+Message::Message(std::string_view line, std::size_t number)
+    : Fields("line " + std::to_string(number) + ": " + std::string(first_word(without_return(line)))) {
+    line = without_return(line);
+    kind_ = first_word(line);
+    if (kind_.empty()) throw WireError("line " + std::to_string(number) + ": empty line");
+    std::string_view rest = kind_.size() < line.size() ? line.substr(kind_.size() + 1) : std::string_view();
     while (!rest.empty()) {
         const auto gap = rest.find(' ');
         const std::string_view pair = rest.substr(0, gap);
         rest = gap == std::string_view::npos ? std::string_view() : rest.substr(gap + 1);
         const auto equals = pair.find('=');
         if (equals == std::string_view::npos || equals == 0) fail(pair, "is not name=value");
-        fields_.emplace_back(pair.substr(0, equals), pair.substr(equals + 1));
-    }
-}
-
-void Message::fail(std::string_view field, std::string_view what) const {
-    throw WireError("line " + std::to_string(line_) + ": " + std::string(kind_) + ": field '" +
-                    std::string(field) + "' " + std::string(what));
-}
-
-const std::string_view* Message::find(std::string_view field) const {
-    for (const auto& [name, value] : fields_)
-        if (name == field) return &value;
-    return nullptr;
-}
-
-std::string_view Message::text(std::string_view field) const {
-    const auto* value = find(field);
-    if (!value) fail(field, "is missing");
-    return *value;
-}
-
-double Message::number(std::string_view field) const {
-    double value = 0;
-    if (!parse(text(field), value) || !std::isfinite(value)) fail(field, "is not a number");
-    return value;
-}
-
-double Message::number_or(std::string_view field, double fallback) const {
-    return has(field) ? number(field) : fallback;
-}
-
-std::uint64_t Message::integer(std::string_view field) const {
-    std::uint64_t value = 0;
-    if (!parse(text(field), value)) fail(field, "is not a whole number");
-    return value;
-}
-
-std::uint64_t Message::integer_or(std::string_view field, std::uint64_t fallback) const {
-    return has(field) ? integer(field) : fallback;
-}
-
-bool Message::flag_or(std::string_view field, bool fallback) const {
-    if (!has(field)) return fallback;
-    const std::string_view value = text(field);
-    if (value == "1" || value == "true") return true;
-    if (value == "0" || value == "false") return false;
-    fail(field, "is not a truth value");
-}
-
-std::uint32_t number_of(std::vector<std::string>& names, std::string_view name) {
-    const auto at = std::find(names.begin(), names.end(), name);
-    const auto number = static_cast<std::uint32_t>(at - names.begin());
-    if (at == names.end()) names.emplace_back(name);
-    return number;
-}
-
-Site read_site(const Message& start) {
-    Site site;
-    Settings& s = site.settings;
-    if (start.has("azs")) site.zones = split(start.text("azs"));
-    if (start.has("my-zone")) s.my_zone = number_of(site.zones, start.text("my-zone"));
-    for (std::uint64_t i = 0, count = start.integer("classes.count"); i < count; ++i) {
-        const std::string prefix = "classes." + std::to_string(i) + ".";
-        RequestClass c;
-        c.effect = named(start, prefix + "effect", effects);
-        if (start.has(prefix + "dedup-scope")) c.dedup_scope = named(start, prefix + "dedup-scope", scopes);
-        c.dedup_window = start.number_or(prefix + "dedup-window-ms", c.dedup_window);
-        c.aim = start.number(prefix + "on-time-ms");
-        c.aim_stretch = start.number_or(prefix + "aim-stretch", c.aim_stretch);
-        c.late_worth = start.number_or(prefix + "late-value", c.late_worth);
-        c.worth = start.number_or(prefix + "credit", c.worth);
-        s.classes.push_back(c);
-        site.classes.emplace_back(start.text(prefix + "name"));
-    }
-    for (std::uint64_t i = 0, count = start.integer_or("tenants.count", 0); i < count; ++i) {
-        const std::string prefix = "tenants." + std::to_string(i) + ".";
-        s.tenants.push_back({start.number_or(prefix + "quota-per-s", 0)});
-        site.tenants.emplace_back(start.text(prefix + "name"));
+        add(pair.substr(0, equals), pair.substr(equals + 1));
     }
-    if (start.has("membership-mode")) s.list_on_request = start.text("membership-mode") == "on_request";
-    s.siblings = static_cast<std::uint32_t>(start.integer_or("siblings", s.siblings));
-    s.max_attempts = static_cast<std::uint32_t>(start.integer_or("limits.max-attempts", s.max_attempts));
-    s.parallel_tries = start.flag_or("limits.parallel-tries", s.parallel_tries);
-    s.may_cancel = start.flag_or("limits.may-cancel", false);
-    s.cold_from = start.number_or("rules.cold-from", s.cold_from);
-    s.fall_multiple = start.number_or("rules.fall-multiple", s.fall_multiple);
-    s.warm_within = start.number_or("rules.warm-within-ms", s.warm_within);
-    s.fees.cross_zone = start.number_or("fees.cross-zone", s.fees.cross_zone);
-    return site;
 }
 
 Outcome read_outcome(const Message& message) { return named(message, "rc", outcomes); }
--- a/src/wire.hpp
+++ b/src/wire.hpp
@@ -5,57 +5,30 @@
 #include <array>
 #include <iosfwd>
 #include <map>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 #include "hollybeam/balancer.hpp"
+#include "site.hpp"
 
 namespace hollybeam::wire {
 
 // A line that can't be read; what() names line number, message and field.
-struct WireError : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
+using WireError = FieldError;
 
-// One line taken apart: the message's name and its name=value pairs, with typed access that throws WireError.
-class Message {
+// One line taken apart: the message's name and its name=value pairs.
+class Message : public Fields {
 public:
     Message(std::string_view line, std::size_t number);
 
     std::string_view kind() const { return kind_; }
-    bool has(std::string_view field) const { return find(field) != nullptr; }
-    std::string_view text(std::string_view field) const;
-    double number(std::string_view field) const;
-    double number_or(std::string_view field, double fallback) const;
-    std::uint64_t integer(std::string_view field) const;
-    std::uint64_t integer_or(std::string_view field, std::uint64_t fallback) const;
-    bool flag_or(std::string_view field, bool fallback) const;
-
-    [[noreturn]] void fail(std::string_view field, std::string_view what) const;
 
 private:
-    const std::string_view* find(std::string_view field) const;
-
     std::string_view kind_;
-    std::size_t line_;
-    std::vector<std::pair<std::string_view, std::string_view>> fields_;
 };
 
-// What START says beyond the library's settings: the names behind its integers.
-struct Site {
-    Settings settings;
-    std::vector<std::string> zones;
-    std::vector<std::string> kinds;
-    std::vector<std::string> classes;
-    std::vector<std::string> tenants;
-};
-// A name's number; one not met before gets the next.
-std::uint32_t number_of(std::vector<std::string>& names, std::string_view name);
-Site read_site(const Message& start);
 Outcome read_outcome(const Message& message);
 
 struct CatalogEntry {
