--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,338 @@
+// The real sidecar over loopback sockets: one test for each thing that can go wrong between them.
+#include "net_rig.hpp"
+
+namespace elmbay::test {
+
+namespace {
+
+TEST(Requests, AreServedWithTheServersBodyOnAKeptConnection) {
+    NetRig rig;
+    rig.start();
+    auto& server = rig.servers.front();
+    const auto client = rig.client();
+    for (int i = 1; i <= 3; ++i) {
+        client->got.clear();
+        client->send(NetRig::request("unsafe"));
+        ASSERT_TRUE(rig.until([&] { return server.requests() == static_cast<std::size_t>(i); }));
+        EXPECT_NE(server.last().got.find("POST /api?a=b HTTP/1.1"), std::string::npos);
+        EXPECT_NE(server.last().got.find("X-Correlation-Id: id-"), std::string::npos);
+        EXPECT_NE(server.last().got.find("X-Time-Left: "), std::string::npos);
+        server.last().respond("200 OK", "answer");
+        ASSERT_TRUE(rig.until([&] { return client->got.find("answer") != std::string::npos; }));
+        EXPECT_EQ(status_of(*client), "HTTP/1.1 200");
+    }
+    EXPECT_EQ(server.peers.size(), 1U) << "one connection serves them in turn";
+    EXPECT_TRUE(rig.until([&] { return rig.sidecar->requests() == 0; }));
+}
+
+TEST(Requests, UpAnswersOnceAServerIsKnown) {
+    NetRig rig;
+    rig.config["known"]["targets"] = Json::array();
+    rig.start();
+    const auto client = rig.client();
+    client->send("GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(rig.until([&] { return !client->got.empty(); }));
+    EXPECT_EQ(status_of(*client), "HTTP/1.1 503");
+    rig.watch_begins();
+    const std::string whole = rig.line(rig.targets(), true);
+    rig.chunk("\n" + whole.substr(0, 20));  // a heartbeat, and a list in two pieces
+    rig.settle();
+    rig.chunk(whole.substr(20));
+    ASSERT_TRUE(rig.until([&] {
+        client->got.clear();
+        client->send("GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+        return rig.until([&] { return client->got.size() > 12; }) && status_of(*client) == "HTTP/1.1 200";
+    }));
+}
+
+TEST(Requests, BadOnesAreAnsweredAndReachNoServer) {
+    NetRig rig;
+    rig.start();
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {"nonsense\r\n\r\n", "HTTP/1.1 400"},
+        {"GET /elsewhere HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 404"},
+        {"GET /api HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 400"},
+        {"POST /api HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: 1\r\nContent-Length: 70000\r\n\r\n",
+         "HTTP/1.1 413"}};
+    for (const auto& [text, status] : cases) {
+        const auto client = rig.client();
+        client->send(text);
+        ASSERT_TRUE(rig.until([&] { return client->got.size() > 12; })) << text;
+        EXPECT_EQ(status_of(*client), status) << text;
+    }
+    EXPECT_EQ(rig.servers.front().requests(), 0U);
+}
+
+// What is missing or unknown is handled as unsafe: after a possible run it is neither repeated nor refused.
+TEST(Requests, UnknownClassAndMissingTimeAreUnsafe) {
+    for (const std::string& headers : {std::string("X-Service-Class: strange\r\nX-Time-Left: 50000m\r\n"),
+                                       std::string("X-Service-Class: safe\r\n"),
+                                       std::string("X-Service-Class: safe\r\nX-Time-Left: soon\r\n"),
+                                       std::string("X-Service-Class: keyed\r\nX-Time-Left: 50000m\r\n")}) {
+        NetRig rig(3);
+        rig.start();
+        const auto client = rig.client();
+        client->send("GET /api HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: 1\r\n" + headers + "\r\n");
+        const auto sent = [&] {
+            std::size_t count = 0;
+            for (const auto& s : rig.servers) count += s.requests();
+            return count;
+        };
+        ASSERT_TRUE(rig.until([&] { return sent() == 1; }));
+        for (auto& s : rig.servers)
+            if (s.requests() > 0) s.last().respond("500 Oops");
+        ASSERT_TRUE(rig.until([&] { return client->got.size() > 12; }));
+        EXPECT_EQ(status_of(*client), "HTTP/1.1 502") << headers;
+        EXPECT_EQ(sent(), 1U) << headers;
+    }
+}
+
+TEST(Requests, TimeLeftHasAUnit) {
+    EXPECT_EQ(parse_time_left("480m"), 480.0);
+    EXPECT_EQ(parse_time_left("1500u"), 1.5);
+    for (const char* bad : {"", "m", "480", "480s", "-5m", "nanm", "4 m", "1e999m"})
+        EXPECT_FALSE(parse_time_left(bad)) << bad;
+}
+
+struct End {
+    const char* response;  // nullptr: a reset
+    bool may_have_run;
+};
+
+// After an outcome that may have run an unsafe request fails; after one that proves it never ran it goes out
+// again.
+TEST(Attempts, OnlyAMarkedAnswerProvesThatItNeverRan) {
+    for (const End& end :
+         {End{"HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", false},
+          End{"HTTP/1.1 504 Over\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", false},
+          End{"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", true},
+          End{"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", true},
+          End{"HTTP/1.1 418 Teapot\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", true},
+          End{"nonsense\r\n\r\n", true}, End{"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", true},
+          End{nullptr, true}}) {
+        SCOPED_TRACE(end.response ? end.response : "reset");
+        NetRig rig;
+        rig.start();
+        auto& server = rig.servers.front();
+        const auto client = rig.client();
+        client->send(NetRig::request("unsafe"));
+        ASSERT_TRUE(rig.until([&] { return server.requests() == 1; }));
+        const auto first = server.peers.back();
+        end.response ? first->send(end.response) : first->reset();
+        if (end.may_have_run) {
+            ASSERT_TRUE(rig.until([&] { return client->got.size() > 12; }));
+            EXPECT_EQ(status_of(*client), "HTTP/1.1 502");
+            EXPECT_EQ(server.requests(), 1U);
+        } else {
+            ASSERT_TRUE(rig.until([&] { return server.requests() == 2; }));
+            server.last().respond("200 OK", "answer");
+            ASSERT_TRUE(rig.until([&] { return client->got.find("answer") != std::string::npos; }));
+        }
+    }
+}
+
+// A break midway is the attempt's end and not the client's: nothing of a half answer is passed on.
+TEST(Attempts, AHalfAnswerIsNotPassedOn) {
+    NetRig rig;
+    rig.start();
+    auto& server = rig.servers.front();
+    const auto client = rig.client();
+    client->send(NetRig::request("safe"));
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 1; }));
+    const auto first = server.peers.back();
+    first->send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
+    rig.settle();
+    EXPECT_EQ(client->got, "");
+    first->close();
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 2; }));
+    server.last().respond("200 OK", "whole");
+    ASSERT_TRUE(rig.until([&] { return client->got.find("whole") != std::string::npos; }));
+    EXPECT_EQ(client->got.find("half"), std::string::npos);
+}
+
+// A pooled connection that the server has closed must not get a request: it would be a reset, and an unsafe
+// request would fail for nothing.
+TEST(Attempts, AStalePooledConnectionIsNotUsed) {
+    NetRig rig;
+    rig.start();
+    auto& server = rig.servers.front();
+    for (const bool seen : {true, false}) {
+        const auto client = rig.client();
+        const std::size_t before = server.requests();
+        client->send(NetRig::request("unsafe"));
+        ASSERT_TRUE(rig.until([&] { return server.requests() == before + 1; }));
+        server.last().respond("200 OK", "first");
+        ASSERT_TRUE(rig.until([&] { return client->got.find("first") != std::string::npos; }));
+        server.peers.back()->close();
+        if (seen) rig.settle();  // else the loop has not seen the end when the next request comes
+        client->got.clear();
+        client->send(NetRig::request("unsafe"));
+        ASSERT_TRUE(rig.until([&] { return server.requests() == before + 2; }));
+        server.last().respond("200 OK", "second");
+        ASSERT_TRUE(rig.until([&] { return client->got.find("second") != std::string::npos; }));
+        server.peers.back()->close();
+        rig.settle();
+    }
+}
+
+TEST(Attempts, RefusedConnectionsNeverRan) {
+    NetRig rig(2);
+    rig.servers.front().acceptor.close();
+    rig.start();
+    auto& server = rig.servers.back();
+    for (std::size_t i = 1; i <= 4; ++i) {  // whichever is drawn first
+        const auto client = rig.client();
+        client->send(NetRig::request("unsafe"));
+        ASSERT_TRUE(rig.until([&] { return server.requests() == i; }));
+        server.last().respond("200 OK", "answer");
+        ASSERT_TRUE(rig.until([&] { return client->got.find("answer") != std::string::npos; }));
+    }
+}
+
+// The client's time runs out: the connection to the server is closed, the client hears of it in time, once.
+TEST(Attempts, ATimeOutClosesTheConnectionAndAnswersTheClient) {
+    NetRig rig;
+    rig.start();
+    auto& server = rig.servers.front();
+    const auto client = rig.client();
+    client->send(NetRig::request("unsafe", "1500m"));
+    ASSERT_TRUE(rig.until([&] { return client->got.size() > 12; }));
+    EXPECT_EQ(status_of(*client), "HTTP/1.1 504");
+    ASSERT_TRUE(rig.until([&] { return server.last().closed; }));
+    EXPECT_EQ(server.requests(), 1U);
+    EXPECT_EQ(client->got.find("HTTP/1.1", 1), std::string::npos) << "one answer";
+    EXPECT_TRUE(rig.until([&] { return rig.sidecar->requests() == 0; }));
+}
+
+TEST(Clients, LeavingIsNoticedWhileTheRequestIsInWork) {
+    NetRig rig;
+    rig.start();
+    auto& server = rig.servers.front();
+    const auto client = rig.client();
+    client->send(NetRig::request("unsafe"));
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 1; }));
+    client->close();
+    ASSERT_TRUE(rig.until([&] { return server.last().closed && rig.sidecar->requests() == 0; }));
+}
+
+// Told that the server is leaving while the attempt waits for its connection: it must not go out any more.
+TEST(Drains, NothingNewGoesToAServerThatIsLeaving) {
+    NetRig rig;
+    rig.start();
+    auto& server = rig.servers.front();
+    const auto client = rig.client();
+    client->send(NetRig::request("safe"));
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 1; }));
+    const auto first = server.peers.back();
+    rig.watch_begins();
+    rig.chunk(rig.line(rig.targets("leaving"), false));
+    rig.settle();
+    first->respond("200 OK", "finished");  // what it has is finished
+    ASSERT_TRUE(rig.until([&] { return client->got.find("finished") != std::string::npos; }));
+    ASSERT_TRUE(rig.until([&] { return first->closed; })) << "it keeps no idle connection";
+    client->got.clear();
+    client->send(NetRig::request("safe", "1000m"));
+    ASSERT_TRUE(rig.until([&] { return client->got.size() > 12; }));
+    EXPECT_EQ(status_of(*client), "HTTP/1.1 503") << "nobody may have it: refused";
+    EXPECT_EQ(server.requests(), 1U);
+}
+
+TEST(Discovery, BrokenDataLeavesTheOldListAndIsAskedForAgain) {
+    NetRig rig;
+    rig.start();
+    EXPECT_NE(rig.discovery.last().got.find("GET /discovery/hosts?stream=1&index=1 "), std::string::npos);
+    rig.watch_begins();
+    rig.chunk("{\"rev\":2,\"all\":true,\"targets\":[{\n");
+    ASSERT_TRUE(rig.until([&] { return rig.discovery.requests() == 2; }));
+    EXPECT_NE(rig.discovery.last().got.find("GET /discovery/hosts "), std::string::npos) << "the whole list";
+    rig.discovery.last().respond("200 OK", rig.line(rig.targets(), true));
+    ASSERT_TRUE(rig.until([&] { return rig.discovery.requests() == 3; }));
+    EXPECT_NE(rig.discovery.last().got.find("stream=1&index=2 "), std::string::npos) << "goes on from there";
+    const auto client = rig.client();
+    client->send(NetRig::request("safe"));
+    ASSERT_TRUE(rig.until([&] { return rig.servers.front().requests() == 1; })) << "the list is in force";
+}
+
+TEST(Discovery, AServerThatMovesIsReachedAtItsNewAddress) {
+    NetRig rig(1);
+    rig.start();
+    rig.watch_begins();
+    FakeServer moved(rig.io);
+    rig.chunk(rig.line(Json::array({NetRig::target(0, moved.address())}), false));
+    rig.settle();
+    const auto client = rig.client();
+    client->send(NetRig::request("unsafe"));
+    ASSERT_TRUE(rig.until([&] { return moved.requests() + rig.servers.front().requests() == 1; }));
+    EXPECT_EQ(moved.requests(), 1U);
+}
+
+// SIGTERM: what was taken is finished, new connections are served for a while, then all is closed.
+TEST(Shutdown, FinishesWhatWasTakenAndServesLateComers) {
+    NetRig rig;
+    rig.start();
+    auto& server = rig.servers.front();
+    const auto early = rig.client(), idle = rig.client();
+    early->send(NetRig::request("unsafe"));
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 1; }));
+    bool done = false;
+    rig.sidecar->drain([&] { done = true; });
+    const auto late = rig.client();
+    late->send(NetRig::request("unsafe"));
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 2; }));
+    ASSERT_TRUE(rig.until([&] { return idle->closed; }));
+    EXPECT_FALSE(done);
+    for (const auto& peer : server.peers) peer->respond("200 OK", "answer");
+    for (const auto& client : {early, late}) {
+        ASSERT_TRUE(rig.until([&] { return client->closed; }));
+        EXPECT_NE(client->got.find("answer"), std::string::npos);
+        EXPECT_NE(client->got.find("Connection: close"), std::string::npos);
+    }
+    EXPECT_TRUE(rig.until([&] { return done; }));
+}
+
+// At the limit of descriptors idle connections go, and accepting goes on.
+TEST(Limits, IdleConnectionsMakeRoomForNewOnes) {
+    NetRig rig;
+    rig.config["limits"]["sockets"] = 24 + 12;
+    rig.start();
+    auto& server = rig.servers.front();
+    std::vector<std::shared_ptr<Peer>> clients;
+    for (std::size_t i = 1; i <= 40; ++i) {
+        clients.push_back(rig.client());
+        clients.back()->send(NetRig::request("safe"));
+        ASSERT_TRUE(rig.until([&] { return server.requests() == i; }));
+        server.last().respond("200 OK", "answer");
+        ASSERT_TRUE(rig.until([&] { return clients.back()->got.find("answer") != std::string::npos; }));
+    }
+}
+
+TEST(Configuration, ErrorsNameTheField) {
+    const auto error_of = [](const Json& config) -> std::string {
+        try {
+            parse_config(config.dump());
+        } catch (const ConfigError& error) {
+            return error.what();
+        }
+        return "";
+    };
+    const Json good = NetRig().config;
+    EXPECT_EQ(error_of(good), "");
+    Json bad = good;
+    bad["listen"] = "nowhere";
+    EXPECT_NE(error_of(bad).find("'listen'"), std::string::npos);
+    bad = good;
+    bad.erase("discovery");
+    EXPECT_NE(error_of(bad).find("'discovery'"), std::string::npos);
+    bad = good;
+    bad["settings"]["classes"][0]["effect"] = "odd";
+    EXPECT_NE(error_of(bad).find("'classes.0.effect'"), std::string::npos);
+    bad = good;
+    bad["known"]["targets"][0]["state"] = "asleep";
+    EXPECT_NE(error_of(bad).find("'known.targets.0.state'"), std::string::npos);
+    EXPECT_THROW(parse_config("{"), ConfigError);
+    EXPECT_THROW(load_config([](const char*) { return nullptr; }), ConfigError);
+}
+
+}  // namespace
+
+}  // namespace elmbay::test
