Shed no request, go on accepting, say when to come back

Idle connections now wait to be readable and read nothing; a request that has begun gets 3 s to come whole. - After SIGTERM only an answer that said Connection: close ends its connection.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -549,13 +549,19 @@
         if (r.ended || r.streaming) return;
         cancel_all(r);
         if (may_refuse(r))
-            act(Refuse{r.id, 0});
+            act(Refuse{r.id, retry_in(r)});
         else
             act(GiveUp{r.id});
         r.ended = true;
         done.push_back(r.id);
     }
 
+    // When to come back: what is out now has half its time left in the mean, and then leaves its place. No
+    // sooner than what we would have held the request for.
+    Millis retry_in(const Request& r) const {
+        return r.kind.aim * std::max(kHold, std::min(1.0, crowd.value) / 2);
+    }
+
     void cancel_all(const Request& r) {
         for (std::uint32_t i = 0; settings.may_cancel && i < r.attempts.size(); ++i)
             if (r.attempts[i].out) act(Cancel{r.id, i});
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,5 +1,7 @@
 #include "net/listener.hpp"
 
+#include <sys/socket.h>
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
@@ -10,12 +12,13 @@
 using tcp = asio::ip::tcp;
 using Error = boost::system::error_code;
 
-constexpr Millis kLinger = 500;      // new connections go on coming after SIGTERM
-constexpr Millis kQuiet = 100;       // what has been idle this long is not about to be written to
-constexpr Millis kStalled = 1000;    // a request that has come in part only is waited for so much longer
-constexpr Millis kSweep = 20;        // between two looks at idle connections while draining
-constexpr Millis kAcceptPause = 20;  // when the system has no descriptor for us
-constexpr Millis kLastRead = 1000;   // for the client to read an answer that came before all was sent
+constexpr Millis kLinger = 500;          // new connections go on coming after SIGTERM
+constexpr Millis kQuiet = 100;           // what has been idle this long is not about to be written to
+constexpr Millis kStalled = 3000;        // for a request to come whole, once it has begun
+constexpr Millis kSweep = 20;            // between two looks at idle connections while draining
+constexpr Millis kAcceptPause = 20;      // when the system has no descriptor for us
+constexpr std::size_t kServersPart = 4;  // of the sockets, clients leave this part for those to servers
+constexpr Millis kLastRead = 1000;       // for the client to read an answer that came before all was sent
 
 HttpResponse plain(http::status status, const char* words) {
     HttpResponse response(status, 11);
@@ -39,8 +42,9 @@
         fields.erase(name);
 }
 
-// One connection of the application. A read is always pending, while a request is in work too: its end tells
-// at once that the client has gone away, and a request sent early waits in parsed form for its turn.
+// One connection of the application. Between requests, and while one is in work, it only waits to be
+// readable: that tells at once when the client leaves, and reads nothing, so that an idle connection can be
+// closed without losing a request that has come but whose handler has not run.
 class Listener::Connection : public std::enable_shared_from_this<Connection> {
 public:
     Connection(Listener& owner, tcp::socket socket) : owner_(owner), socket_(std::move(socket)) {}
@@ -49,16 +53,15 @@
         Error ignored;
         socket_.set_option(tcp::no_delay(true), ignored);
         idle_since_ = owner_.clock_.now();
-        read();
+        await();
     }
 
-    bool idle() const { return !busy_ && !writing_ && !closed_; }
+    bool idle() const { return !busy_ && !writing_ && !reading_ && !early_ && !closed_; }
     Millis idle_since() const { return idle_since_; }
     // Whether bytes lie here that have not been read: a request may be among them.
     bool has_unread() const {
         Error error;
-        return (parser_ && parser_->got_some() && !parser_->is_done()) || buffer_.size() > 0 ||
-               socket_.available(error) > 0;
+        return buffer_.size() > 0 || socket_.available(error) > 0;
     }
 
     void answer(HttpResponse response) {
@@ -73,6 +76,7 @@
         Error ignored;
         socket_.close(ignored);
         owner_.timers_.cancel(last_read_);
+        owner_.timers_.cancel(stalled_);
         if (id_ != 0) {
             const RequestId gone = std::exchange(id_, 0);
             owner_.in_work_.erase(gone);
@@ -84,38 +88,51 @@
     Connections::iterator place;
 
 private:
+    void await() {
+        waiting_ = true;
+        socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](Error error) {
+            self->waiting_ = false;
+            if (!self->closed_) error ? self->close() : self->on_readable();
+        });
+    }
+
+    void on_readable() {
+        if (ended_) return discard();
+        if (!busy_ && !writing_) return read();
+        char byte = 0;
+        const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (got > 0)
+            early_ = true;  // sent before the last answer: its turn comes after that
+        else if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+            await();
+        else if (writing_)
+            last_ = true;  // the connection ends with the answer
+        else
+            close();  // the client has closed, or ended its sending: it has gone away, as the protocol has it
+    }
+
     void read() {
         parser_.emplace();
         parser_->body_limit(kMostBody);
         parser_->header_limit(kMostHeader);
         reading_ = true;
+        stalled_ = owner_.timers_.set(owner_.clock_.now() + kStalled, [self = shared_from_this()] {
+            self->stalled_ = {};
+            self->close();
+        });
         http::async_read(socket_, buffer_, *parser_,
                          [self = shared_from_this()](Error error, std::size_t) { self->on_read(error); });
     }
 
     void on_read(Error error) {
         reading_ = false;
+        owner_.timers_.cancel(stalled_);
         if (closed_) return;
-        if (ended_) return error ? close() : discard();
-        if (!error) {
-            if (busy_ || writing_)
-                early_ = true;  // sent before the last answer: its turn comes after that
-            else
-                take();
-            return;
-        }
-        // The client has closed, or only ended its sending: it has gone away, as the protocol has it. While
-        // an answer is being written the connection just ends with it.
+        if (!error) return take();
         const bool malformed =
             error.category() == http::make_error_code(http::error::end_of_stream).category() &&
             error != http::error::end_of_stream && error != http::error::partial_message;
-        if (!malformed || busy_ || writing_) {
-            if (writing_)
-                last_ = true;
-            else
-                close();
-            return;
-        }
+        if (!malformed) return close();
         last_ = true;
         if (error == http::error::body_limit)
             write(plain(http::status::payload_too_large, "body too large\n"));
@@ -144,12 +161,15 @@
         id_ = owner_.next_id_++;
         owner_.in_work_[id_] = this;
         const auto self = shared_from_this();
-        read();  // to see the client leave
+        if (buffer_.size() > 0)
+            early_ = true;
+        else
+            await();  // to see the client leave
         owner_.handlers_.arrived(id_, std::move(request));
     }
 
     void write(HttpResponse response) {
-        if (owner_.draining_) last_ = true;
+        if (owner_.draining_ && !early_) last_ = true;
         response.version(11);
         response.keep_alive(!last_);
         response.prepare_payload();
@@ -164,15 +184,15 @@
         writing_ = false;
         response_.reset();
         if (error) return close();
-        if (last_ || owner_.draining_) return end();
+        // Only an answer that said so is the last: the client may already be writing on a connection that it
+        // was told will stay.
+        if (last_) return end();
         idle_since_ = owner_.clock_.now();
         owner_.connections_.splice(owner_.connections_.end(), owner_.connections_, place);
-        if (early_) {
-            early_ = false;
-            take();
-        } else if (!reading_) {
+        if (std::exchange(early_, false) || buffer_.size() > 0)
             read();
-        }
+        else if (!waiting_)
+            await();
     }
 
     // An answer must reach the client also when it is still sending: closing over unread bytes would reset
@@ -187,7 +207,7 @@
             self->last_read_ = {};
             self->close();
         });
-        if (!reading_) discard();
+        if (!waiting_) discard();
     }
     void discard() {
         socket_.async_read_some(asio::buffer(waste_), [self = shared_from_this()](Error error, std::size_t) {
@@ -205,11 +225,12 @@
     std::array<char, 512> waste_{};
     RequestId id_ = 0;  // of the request in work
     bool busy_ = false, writing_ = false, early_ = false, closed_ = false;
-    bool reading_ = false;  // a read is pending
+    bool waiting_ = false;  // to be readable
+    bool reading_ = false;  // a request, whose first byte has come
     bool ended_ = false;    // our sending is over
     bool last_ = false;     // the next answer is the connection's last
     Millis idle_since_ = 0;
-    TimerQueue::Key last_read_{};
+    TimerQueue::Key last_read_{}, stalled_{};
 };
 
 Listener::Listener(asio::io_context& io, const Endpoint& listen, SocketBudget& budget, TimerQueue& timers,
@@ -227,9 +248,6 @@
     acceptor_.listen(4096);
     acceptor_.non_blocking(true);
     budget_.add_shedder([this] { return shed(); });
-    budget_.set_on_room([this] {
-        if (held_up_) asio::post(io_, [this] { accept(); });
-    });
     accept();
 }
 
@@ -237,9 +255,9 @@
 
 void Listener::accept() {
     if (accepting_ || !acceptor_.is_open()) return;
-    held_up_ = false;
-    if (!budget_.take()) {
-        held_up_ = true;  // the kernel's queue keeps them until a socket is free
+    if (!budget_.take(budget_.limit() / kServersPart)) {
+        // The kernel's queue keeps them until a socket is free, or until one of ours becomes idle and can go.
+        timers_.set(clock_.now() + kAcceptPause, [this] { accept(); });
         return;
     }
     accepting_ = true;
@@ -315,8 +333,7 @@
     const Millis before = clock_.now() - kQuiet;
     const Connections all = connections_;
     for (const auto& connection : all)
-        if (connection->idle() && connection->idle_since() < before &&
-            (!connection->has_unread() || connection->idle_since() < before - kStalled))
+        if (connection->idle() && connection->idle_since() < before && !connection->has_unread())
             connection->close();
     if (!connections_.empty())
         timers_.set(clock_.now() + kSweep, [this] { close_idle(); });
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -72,7 +72,7 @@
     Connections connections_;
     std::unordered_map<RequestId, Connection*> in_work_;
     RequestId next_id_ = 1;
-    bool accepting_ = false, held_up_ = false;
+    bool accepting_ = false;
     bool draining_ = false, closing_ = false;
     std::function<void()> done_;
 };
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -13,25 +13,21 @@
 public:
     explicit SocketBudget(std::size_t limit) : limit_(limit) {}
 
-    bool take() {
+    // keep_free: so many are left to others.
+    bool take(std::size_t keep_free = 0) {
         for (const auto& shed : shedders_)
-            while (used_ >= limit_ && shed()) continue;
-        if (used_ >= limit_) return false;
+            while (used_ + keep_free >= limit_ && shed()) continue;
+        if (used_ + keep_free >= limit_) return false;
         ++used_;
         return true;
     }
-    void give_back() {
-        --used_;
-        if (on_room_) on_room_();
-    }
-    std::size_t used() const { return used_; }
+    void give_back() { --used_; }
+    std::size_t limit() const { return limit_; }
     void add_shedder(std::function<bool()> shed) { shedders_.push_back(std::move(shed)); }
-    void set_on_room(std::function<void()> on_room) { on_room_ = std::move(on_room); }
 
 private:
     std::size_t limit_, used_ = 0;
     std::vector<std::function<bool()>> shedders_;
-    std::function<void()> on_room_;
 };
 
 }  // namespace elmbay
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -234,6 +234,7 @@
     client->send(NetRig::request("safe", "1000m"));
     ASSERT_TRUE(rig.until([&] { return client->got.size() > 12; }));
     EXPECT_EQ(status_of(*client), "HTTP/1.1 503") << "nobody may have it: refused";
+    EXPECT_NE(client->got.find("Retry-After: "), std::string::npos) << "and told when to come back";
     EXPECT_EQ(server.requests(), 1U);
 }
 
@@ -306,6 +307,48 @@
     }
 }
 
+// All sockets in work: accepting waits, and goes on when one of them becomes idle, though none was closed.
+// The servers keep a part of the sockets, else every request would find itself without one.
+TEST(Limits, AcceptingGoesOnAfterAllSocketsWereInWork) {
+    NetRig rig;
+    rig.config["limits"]["sockets"] = 24 + 16;
+    rig.start();
+    auto& server = rig.servers.front();
+    std::vector<std::shared_ptr<Peer>> clients;
+    for (int i = 0; i < 30; ++i) {
+        clients.push_back(rig.client());
+        clients.back()->send(NetRig::request("safe"));
+    }
+    std::vector<std::size_t> answered;
+    const auto served = [&] {
+        for (const auto& p : server.peers) {
+            answered.resize(server.peers.size());
+            std::size_t& done = answered[&p - server.peers.data()];
+            for (; done < p->requests(); ++done) p->respond("200 OK", "answer");
+        }
+        return std::all_of(clients.begin(), clients.end(), [](const auto& c) { return c->got.size() > 12; });
+    };
+    ASSERT_TRUE(rig.until(served));
+    for (const auto& c : clients)
+        EXPECT_TRUE(status_of(*c) == "HTTP/1.1 200" || status_of(*c) == "HTTP/1.1 503") << c->got;
+    EXPECT_GT(server.requests(), 4U);
+}
+
+// Servers close what has been idle for long; a request that crosses that would be a reset.
+TEST(Limits, IdleConnectionsToServersAreRetiredBeforeTheServerWould) {
+    NetRig rig;
+    rig.config["settings"]["limits"]["idle-close-ms"] = 500.0;
+    rig.start();
+    auto& server = rig.servers.front();
+    const auto client = rig.client();
+    client->send(NetRig::request("safe"));
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 1; }));
+    server.last().respond("200 OK", "answer");
+    ASSERT_TRUE(rig.until([&] { return server.last().closed; }));
+    EXPECT_NE(client->got.find("answer"), std::string::npos);
+    EXPECT_FALSE(client->closed);
+}
+
 TEST(Configuration, ErrorsNameTheField) {
     const auto error_of = [](const Json& config) -> std::string {
         try {
