--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,4 +1,5 @@
-// The real sidecar over loopback sockets: one test for each thing that can go wrong between them.
+// The real sidecar over loopback sockets: one test for each thing that can go
+// wrong between them.
 #include "net_rig.hpp"
 
 namespace elmbay::test {
@@ -52,7 +53,8 @@
         {"nonsense\r\n\r\n", "HTTP/1.1 400"},
         {"GET /elsewhere HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 404"},
         {"GET /api HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 400"},
-        {"POST /api HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: 1\r\nContent-Length: 70000\r\n\r\n",
+        {"POST /api HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: "
+         "1\r\nContent-Length: 70000\r\n\r\n",
          "HTTP/1.1 413"}};
     for (const auto& [text, status] : cases) {
         const auto client = rig.client();
@@ -63,7 +65,8 @@
     EXPECT_EQ(rig.servers.front().requests(), 0U);
 }
 
-// What is missing or unknown is handled as unsafe: after a possible run it is neither repeated nor refused.
+// What is missing or unknown is handled as unsafe: after a possible run it is
+// neither repeated nor refused.
 TEST(Requests, UnknownClassAndMissingTimeAreUnsafe) {
     for (const std::string& headers : {std::string("X-Service-Class: strange\r\nX-Time-Left: 50000m\r\n"),
                                        std::string("X-Service-Class: safe\r\n"),
@@ -99,15 +102,17 @@
     bool may_have_run;
 };
 
-// After an outcome that may have run an unsafe request fails; after one that proves it never ran it goes out
-// again.
+// After an outcome that may have run an unsafe request fails; after one that
+// proves it never ran it goes out again.
 TEST(Attempts, OnlyAMarkedAnswerProvesThatItNeverRan) {
     for (const End& end :
          {End{"HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", false},
           End{"HTTP/1.1 504 Over\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", false},
           End{"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", true},
           End{"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", true},
-          End{"HTTP/1.1 418 Teapot\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", true},
+          End{"HTTP/1.1 418 Teapot\r\nX-Unprocessed: 1\r\nContent-Length: "
+              "0\r\n\r\n",
+              true},
           End{"nonsense\r\n\r\n", true}, End{"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", true},
           End{nullptr, true}}) {
         SCOPED_TRACE(end.response ? end.response : "reset");
@@ -131,7 +136,8 @@
     }
 }
 
-// A break midway is the attempt's end and not the client's: nothing of a half answer is passed on.
+// A break midway is the attempt's end and not the client's: nothing of a half
+// answer is passed on.
 TEST(Attempts, AHalfAnswerIsNotPassedOn) {
     NetRig rig;
     rig.start();
@@ -150,8 +156,8 @@
     EXPECT_EQ(client->got.find("half"), std::string::npos);
 }
 
-// A pooled connection that the server has closed must not get a request: it would be a reset, and an unsafe
-// request would fail for nothing.
+// A pooled connection that the server has closed must not get a request: it
+// would be a reset, and an unsafe request would fail for nothing.
 TEST(Attempts, AStalePooledConnectionIsNotUsed) {
     NetRig rig;
     rig.start();
@@ -164,7 +170,9 @@
         server.last().respond("200 OK", "first");
         ASSERT_TRUE(rig.until([&] { return client->got.find("first") != std::string::npos; }));
         server.peers.back()->close();
-        if (seen) rig.settle();  // else the loop has not seen the end when the next request comes
+        if (seen)
+            rig.settle();  // else the loop has not seen the end when the next request
+                           // comes
         client->got.clear();
         client->send(NetRig::request("unsafe"));
         ASSERT_TRUE(rig.until([&] { return server.requests() == before + 2; }));
@@ -189,7 +197,8 @@
     }
 }
 
-// The client's time runs out: the connection to the server is closed, the client hears of it in time, once.
+// The client's time runs out: the connection to the server is closed, the
+// client hears of it in time, once.
 TEST(Attempts, ATimeOutClosesTheConnectionAndAnswersTheClient) {
     NetRig rig;
     rig.start();
@@ -215,7 +224,8 @@
     ASSERT_TRUE(rig.until([&] { return server.last().closed && rig.sidecar->requests() == 0; }));
 }
 
-// Told that the server is leaving while the attempt waits for its connection: it must not go out any more.
+// Told that the server is leaving while the attempt waits for its connection:
+// it must not go out any more.
 TEST(Drains, NothingNewGoesToAServerThatIsLeaving) {
     NetRig rig;
     rig.start();
@@ -238,6 +248,54 @@
     EXPECT_EQ(server.requests(), 1U);
 }
 
+// The pool alone, with the outcomes it reports.
+struct PoolRig {
+    asio::io_context io{1};
+    Clock clock;
+    TimerQueue timers{io, clock};
+    SocketBudget budget;
+    FakeServer server{io};
+    std::vector<Outcome> ended;
+    Upstream upstream;
+
+    explicit PoolRig(std::size_t sockets)
+        : budget(sockets),
+          upstream(io, budget, timers, clock, {10000, 15000},
+                   [this](AttemptKey, Outcome outcome, Millis, const HttpResponse&) {
+                       ended.push_back(outcome);
+                   }) {
+        tell(true);
+    }
+    void tell(bool may_send) { upstream.set_server(1, server.acceptor.local_endpoint(), may_send); }
+    void send() {
+        auto request = std::make_shared<HttpRequest>(http::verb::get, "/api", 11);
+        upstream.start({1, 0}, 1, clock.now() + 50000, std::move(request));
+    }
+    void run_until_ended() {
+        while (ended.empty() && io.run_one_for(std::chrono::seconds(60)) > 0) continue;
+    }
+};
+
+// Told between the attempt's start and its connection being up: not a byte may
+// go out any more.
+TEST(Drains, AnAttemptWaitingForItsConnectionStaysIn) {
+    PoolRig rig(10);
+    rig.send();
+    rig.tell(false);
+    rig.run_until_ended();
+    EXPECT_EQ(rig.ended, std::vector<Outcome>{Outcome::superseded});
+    while (rig.server.peers.empty() || !rig.server.last().closed)
+        ASSERT_GT(rig.io.run_one_for(std::chrono::seconds(60)), 0U);
+    EXPECT_EQ(rig.server.last().got, "");
+}
+
+TEST(Limits, AnAttemptWithoutASocketNeverRan) {
+    PoolRig rig(0);
+    rig.send();
+    rig.run_until_ended();
+    EXPECT_EQ(rig.ended, std::vector<Outcome>{Outcome::superseded});
+}
+
 TEST(Discovery, BrokenDataLeavesTheOldListAndIsAskedForAgain) {
     NetRig rig;
     rig.start();
@@ -267,7 +325,8 @@
     EXPECT_EQ(moved.requests(), 1U);
 }
 
-// SIGTERM: what was taken is finished, new connections are served for a while, then all is closed.
+// SIGTERM: what was taken is finished, new connections are served for a while,
+// then all is closed.
 TEST(Shutdown, FinishesWhatWasTakenAndServesLateComers) {
     NetRig rig;
     rig.start();
@@ -307,8 +366,9 @@
     }
 }
 
-// All sockets in work: accepting waits, and goes on when one of them becomes idle, though none was closed.
-// The servers keep a part of the sockets, else every request would find itself without one.
+// All sockets in work: accepting waits, and goes on when one of them becomes
+// idle, though none was closed. The servers keep a part of the sockets, else
+// every request would find itself without one.
 TEST(Limits, AcceptingGoesOnAfterAllSocketsWereInWork) {
     NetRig rig;
     rig.config["limits"]["sockets"] = 24 + 16;
@@ -334,7 +394,8 @@
     EXPECT_GT(server.requests(), 4U);
 }
 
-// Servers close what has been idle for long; a request that crosses that would be a reset.
+// Servers close what has been idle for long; a request that crosses that would
+// be a reset.
 TEST(Limits, IdleConnectionsToServersAreRetiredBeforeTheServerWould) {
     NetRig rig;
     rig.config["settings"]["limits"]["idle-close-ms"] = 500.0;
