SIGHUP moves discovery instead of ending the process; timers survive a throw

Now the file is read again; discovery in it wins over RELAY_DISCOVERY, which is as old as the process; the new address is asked at once for the whole list with the shortest wait. A bad file is one log line. The handlers are there before anything else is set up. Timers: a callback that throws left the queue unarmed (timing.hpp, fire()); it is armed on every way out now.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,13 +9,39 @@
 #include "net/config.hpp"
 #include "net/sidecar.hpp"
 
+namespace {
+
+const char* environment(const char* name) { return std::getenv(name); }
+
+// SIGHUP: the file has been replaced. One that can't be used changes nothing.
+void reload(elmbay::Sidecar& sidecar) {
+    try {
+        sidecar.reload(elmbay::reload_config(environment));
+    } catch (const std::exception& error) {
+        std::cerr << "elmbay: the new configuration can't be used, the old one stays: " << error.what()
+                  << std::endl;
+    }
+}
+
+void await_reload(boost::asio::signal_set& signals, elmbay::Sidecar& sidecar) {
+    signals.async_wait([&](boost::system::error_code error, int) {
+        if (error) return;
+        await_reload(signals, sidecar);
+        reload(sidecar);
+    });
+}
+
+}  // namespace
+
 int main() {
     try {
-        elmbay::Config config = elmbay::load_config([](const char* name) { return std::getenv(name); });
         boost::asio::io_context io(1);
-        elmbay::Sidecar sidecar(io, std::move(config));
-        boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-        signals.async_wait([&](boost::system::error_code error, int) {
+        // Before all else: without a handler SIGHUP ends the process. One that comes too early for us waits
+        // here.
+        boost::asio::signal_set reloads(io, SIGHUP), ends(io, SIGTERM, SIGINT);
+        elmbay::Sidecar sidecar(io, elmbay::load_config(environment));
+        await_reload(reloads, sidecar);
+        ends.async_wait([&](boost::system::error_code error, int) {
             if (!error) sidecar.drain([&io] { io.stop(); });
         });
         while (!io.stopped()) {
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -175,7 +175,7 @@
     return c;
 }
 
-Config load_config(const std::function<const char*(const char*)>& get) {
+Config reload_config(const std::function<const char*(const char*)>& get) {
     const char* path = get("RELAY_CONFIG");
     if (!path) fail("RELAY_CONFIG", "is not set");
     const std::ifstream file(path);
@@ -185,6 +185,11 @@
     Config c = parse_config(content.str());
     if (const char* name = get("RELAY_NAME")) c.name = name;
     if (const char* listen = get("RELAY_LISTEN")) c.listen = endpoint(listen, "RELAY_LISTEN");
+    return c;
+}
+
+Config load_config(const std::function<const char*(const char*)>& get) {
+    Config c = reload_config(get);
     if (const char* discovery = get("RELAY_DISCOVERY")) c.discovery = endpoint(discovery, "RELAY_DISCOVERY");
     return c;
 }
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -51,5 +51,8 @@
 
 // Reads the environment (by way of get, which returns nullptr for what is not set) and the file it names.
 Config load_config(const std::function<const char*(const char*)>& get);
+// The same once more, after SIGHUP. The environment is as old as the process, so for what the operators move
+// by a new file, discovery, the file is right and RELAY_DISCOVERY out of date.
+Config reload_config(const std::function<const char*(const char*)>& get);
 
 }  // namespace elmbay
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -190,6 +190,16 @@
     if (const auto call = std::exchange(call_, nullptr)) call->close();
 }
 
+void Discovery::move_to(const Endpoint& endpoint) {
+    stop();  // no ended(): the module has not lost its list and need not ask again
+    endpoint_ = endpoint;
+    // Versions are each service's own: what we hold says nothing of where the new one stands.
+    whole_ = true;
+    rev_ = 0;
+    wait_ = kFirstWait;
+    watch();
+}
+
 void Discovery::begin() {
     if (!budget_.take()) return ended("has no socket");
     call_ = std::make_shared<Call>(*this);
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -29,16 +29,18 @@
 
     void watch();
     void stop();
+    // Goes to another address at once, asks it for the whole list and starts with the shortest wait. What was
+    // told so far stays in force until then.
+    void move_to(const Endpoint& endpoint);
 
 private:
     class Call;
 
     void begin();
-    void line(const std::string& text);
     void ended(const char* why);
 
     asio::io_context& io_;
-    const Endpoint endpoint_;
+    Endpoint endpoint_;
     SocketBudget& budget_;
     TimerQueue& timers_;
     const Clock& clock_;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -77,6 +77,8 @@
     if (!config_.site.settings.list_on_request) discovery_.watch();
 }
 
+void Sidecar::reload(const Config& config) { discovery_.move_to(config.discovery); }
+
 void Sidecar::drain(std::function<void()> done) { listener_.drain(std::move(done)); }
 
 // ---- Events -----------------------------------------------------------------------------------------------
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -27,6 +27,9 @@
     Sidecar(const Sidecar&) = delete;
     Sidecar& operator=(const Sidecar&) = delete;
 
+    // Takes over what a new configuration may change while requests are in work: where discovery is. The rest
+    // of it needs a restart.
+    void reload(const Config& config);
     // Finishes what it has taken, for SIGTERM; done is called when nothing is left.
     void drain(std::function<void()> done);
 
--- a/src/net/timing.hpp
+++ b/src/net/timing.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <utility>
 
 #include "hollybeam/balancer.hpp"
@@ -71,6 +72,9 @@
         });
     }
     void fire() {
+        // Also when a callback throws: main goes on after that, and without this no timer would ever fire
+        // again.
+        const std::unique_ptr<TimerQueue, void (*)(TimerQueue*)> rearm(this, [](TimerQueue* q) { q->arm(); });
         // Only what was due on entry: callbacks that set timers for at once must not keep the loop here.
         const Millis now = clock_.now();
         while (!waiting_.empty() && waiting_.begin()->first.first <= now) {
@@ -79,7 +83,6 @@
             armed_ = now;  // no callback needs to arm while this loop runs
             run();
         }
-        arm();
     }
 
     asio::steady_timer timer_;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,5 +1,9 @@
 // The real sidecar over loopback sockets: one test for each thing that can go
 // wrong between them.
+#include <unistd.h>
+
+#include <fstream>
+
 #include "net_rig.hpp"
 
 namespace elmbay::test {
@@ -325,6 +329,66 @@
     EXPECT_EQ(moved.requests(), 1U);
 }
 
+// A new configuration moves discovery while a request is in work: the new address is asked for the whole list
+// at once, the old one is left, the old list and the request go on.
+TEST(Reload, GoesToTheNewDiscoveryAndKeepsTheOldListMeanwhile) {
+    NetRig rig;
+    rig.start();
+    rig.watch_begins();
+    auto& server = rig.servers.front();
+    const auto client = rig.client();
+    client->send(NetRig::request("unsafe"));
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 1; }));
+    FakeServer moved(rig.io), joined(rig.io);
+    rig.config["discovery"] = moved.address();
+    rig.sidecar->reload(parse_config(rig.config.dump()));
+    ASSERT_TRUE(rig.until([&] { return moved.requests() == 1 && rig.discovery.last().closed; }));
+    EXPECT_NE(moved.last().got.find("GET /discovery/hosts "), std::string::npos) << "the whole list";
+    const auto second = rig.client();
+    second->send(NetRig::request("safe"));
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 2; })) << "by the old list";
+    for (const auto& peer : server.peers) peer->respond("200 OK", "answer");
+    for (const auto& c : {client, second})
+        ASSERT_TRUE(rig.until([&] { return c->got.find("answer") != std::string::npos; }));
+    rig.rev = 0;  // the new one counts from its own start
+    moved.last().respond("200 OK", rig.line(Json::array({NetRig::target(7, joined.address())}), true));
+    ASSERT_TRUE(rig.until([&] { return moved.requests() == 2; }));
+    EXPECT_NE(moved.last().got.find("stream=1&index=1 "), std::string::npos);
+    client->got.clear();
+    client->send(NetRig::request("unsafe"));
+    ASSERT_TRUE(rig.until([&] { return joined.requests() == 1; })) << "by the new list";
+}
+
+// The environment still names the discovery of the start: after a reload the file is right.
+TEST(Reload, TheFilesDiscoveryWinsAndABadFileIsRefused) {
+    NetRig rig;
+    const std::string path = testing::TempDir() + "elmbay-reload-" + std::to_string(::getpid()) + ".json";
+    const auto write = [&](const std::string& text) { std::ofstream(path) << text; };
+    const auto get = [&](const char* name) -> const char* {
+        if (name == std::string("RELAY_CONFIG")) return path.c_str();
+        return name == std::string("RELAY_DISCOVERY") ? "127.0.0.1:9" : nullptr;
+    };
+    write(rig.config.dump());
+    EXPECT_EQ(text_of(load_config(get).discovery), "127.0.0.1:9");
+    EXPECT_EQ(text_of(reload_config(get).discovery), rig.discovery.address());
+    write(rig.config.dump().substr(0, 40));
+    EXPECT_THROW(reload_config(get), ConfigError);
+    std::remove(path.c_str());
+}
+
+// A callback that throws ends the loop's run, which main takes up again: the other timers must still fire.
+TEST(Timers, FireAlsoAfterOneThatThrew) {
+    asio::io_context io(1);
+    const Clock clock;
+    TimerQueue timers(io, clock);
+    bool fired = false;
+    timers.set(clock.now(), [] { throw std::runtime_error("trouble"); });
+    timers.set(clock.now() + 1, [&] { fired = true; });
+    EXPECT_THROW(io.run(), std::runtime_error);
+    io.run_for(std::chrono::seconds(60));
+    EXPECT_TRUE(fired);
+}
+
 // SIGTERM: what was taken is finished, new connections are served for a while,
 // then all is closed.
 TEST(Shutdown, FinishesWhatWasTakenAndServesLateComers) {
