--- /dev/null
+++ b/src/net/answer.hpp
@@ -0,0 +1,40 @@
+// One answer of a server, from the bytes that come after its request.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "net/message.hpp"
+
+namespace elmbay {
+
+// Tells at the first byte that shows it whether an answer is spoilt. What servers send that is whole says in
+// one Content-Length, or in chunks, where it ends, and nothing but a repetition of itself follows it.
+class AnswerReader {
+public:
+    enum class State { more, whole, spoilt };
+
+    State feed(std::string_view bytes);
+    State state() const { return state_; }
+
+    // Of an answer that is whole.
+    const HttpResponse& get() const { return parser_->get(); }
+    HttpResponse release() { return parser_->release(); }
+    // Whether its connection can carry another request: nothing came behind, and the server keeps it.
+    bool reusable() const { return parsed_ == raw_.size() && parser_->keep_alive(); }
+
+private:
+    State parse();
+    bool head_is_sound() const;
+    bool repeats_itself() const;
+
+    using Parser = http::response_parser<http::string_body>;
+    std::optional<Parser> parser_;
+    std::string raw_;        // all that came
+    std::size_t start_ = 0;  // of the final answer; 1xx may stand before it
+    std::size_t parsed_ = 0;
+    std::size_t interim_ = 0;
+    State state_ = State::more;
+};
+
+}  // namespace elmbay
--- /dev/null
+++ b/src/net/intake.cpp
@@ -0,0 +1,96 @@
+#include "net/intake.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace elmbay {
+
+namespace {
+
+using hollybeam::Effect;
+using hollybeam::Site;
+
+constexpr std::size_t kLongestId = 256;  // of an id or key; the protocol's have 16 and 32 characters
+// On a slow or shared core a short time must not go to the margin whole.
+constexpr double kMostMarginShare = 0.1;
+
+constexpr const char* kId = "X-Correlation-Id";
+constexpr const char* kClass = "X-Service-Class";
+constexpr const char* kTimeLeft = "X-Time-Left";
+constexpr const char* kKey = "Idempotency-Key";
+// What else the protocol names: servers may use it, and need not.
+constexpr const char* kFurther[] = {kClass, "X-Account", "Cookie", "X-Repeat", "X-Weight-Hint", "X-Facts"};
+
+std::size_t class_of(const RequestHead& head, const Site& site) {
+    const auto at = std::find(site.classes.begin(), site.classes.end(), field(head, kClass));
+    return static_cast<std::size_t>(at - site.classes.begin());
+}
+
+}  // namespace
+
+std::optional<Millis> parse_time_left(std::string_view text) {
+    if (text.empty()) return {};
+    const char unit = text.back();
+    if (unit != 'm' && unit != 'u') return {};
+    double value = 0;
+    const char* end = text.data() + text.size() - 1;
+    const auto [at, wrong] = std::from_chars(text.data(), end, value);
+    if (wrong != std::errc() || at != end || !std::isfinite(value) || value < 0) return {};
+    return unit == 'u' ? value / 1000 : value;
+}
+
+std::optional<Problem> problem_of(const RequestHead& head, const Site& site) {
+    const auto bad = [](const char* words) { return Problem{http::status::bad_request, words}; };
+    const bool get = head.method() == http::verb::get;
+    if (!get && head.method() != http::verb::post)
+        return Problem{http::status::method_not_allowed, "GET or POST\n"};
+    for (const char* name : {kId, kClass, kTimeLeft, kKey})
+        if (head.count(name) > 1) return bad("a header that may stand once is repeated\n");
+    const auto id = field(head, kId), key = field(head, kKey);
+    if (id.empty()) return bad("X-Correlation-Id is missing\n");
+    if (id.size() > kLongestId || key.size() > kLongestId) return bad("an id is too long\n");
+    const std::size_t index = class_of(head, site);
+    if (index == site.classes.size()) return bad("X-Service-Class is not a known class\n");
+    if (!parse_time_left(field(head, kTimeLeft))) return bad("X-Time-Left is not a number and a unit\n");
+    const Effect effect = site.settings.classes[index].effect;
+    if (get != (effect == Effect::repeatable)) return bad("the method is not that of the class\n");
+    if ((effect == Effect::by_key) == key.empty()) return bad("Idempotency-Key goes with a keyed class\n");
+    return {};
+}
+
+hollybeam::RequestArrived describe(RequestId id, const RequestHead& head, const Site& site, Millis margin) {
+    hollybeam::RequestArrived event;
+    event.id = id;
+    event.class_index = static_cast<std::uint32_t>(class_of(head, site));
+    // A client never waits longer than its class is worth waiting for; what it says is not trusted beyond
+    // that.
+    const Millis left =
+        std::min(parse_time_left(field(head, kTimeLeft)).value_or(0), site.give_up.at(event.class_index));
+    event.time_left = std::max(1.0, left - std::min(margin, left * kMostMarginShare));
+    if (const auto account = field(head, "X-Account"); !account.empty()) {
+        const auto tenant = std::find(site.tenants.begin(), site.tenants.end(), account);
+        if (tenant != site.tenants.end())
+            event.tenant = static_cast<std::uint32_t>(tenant - site.tenants.begin());
+    }
+    const auto hint = field(head, "X-Weight-Hint");
+    double micros = 0;
+    const auto [end, wrong] = std::from_chars(hint.data(), hint.data() + hint.size(), micros);
+    if (wrong == std::errc() && end == hint.data() + hint.size() && std::isfinite(micros))
+        event.effort = std::max(0.0, micros / 1000);
+    event.repeat = field(head, "X-Repeat") == "1";
+    return event;
+}
+
+HttpRequest for_server(HttpRequest request) {
+    HttpRequest anew(request.method(), request.target(), 11);
+    anew.set(http::field::host, request[http::field::host]);
+    anew.set(kId, request[kId]);
+    for (const char* name : kFurther)
+        if (request.count(name) > 0) anew.set(name, request[name]);
+    if (request.count(kKey) > 0) anew.set(kKey, request[kKey]);
+    anew.body() = std::move(request.body());
+    return anew;
+}
+
+}  // namespace elmbay
--- /dev/null
+++ b/src/net/intake.hpp
@@ -0,0 +1,39 @@
+// What a request of the application must be to be used, what it tells the module, and what of it goes on to a
+// server.
+#pragma once
+
+#include <optional>
+
+#include "net/message.hpp"
+#include "site.hpp"
+
+namespace elmbay {
+
+using hollybeam::Millis;
+using hollybeam::RequestId;
+using RequestHead = http::request_header<>;
+
+// Why a request can't be used: answered here, never sent on.
+struct Problem {
+    http::status status = http::status::bad_request;
+    const char* words = "";
+};
+
+// Whether it can be passed on at all. What is unknown, missing, repeated or contradicts itself can't: whoever
+// sent it is not the application that the settings describe, and a guess at its meaning may run something
+// twice.
+std::optional<Problem> problem_of(const RequestHead& head, const hollybeam::Site& site);
+
+// What the module is told of a request that has no problem. margin: the answer leaves that much before the
+// client's time is up.
+hollybeam::RequestArrived describe(RequestId id, const RequestHead& head, const hollybeam::Site& site,
+                                   Millis margin);
+
+// The request for a server, built anew from what the protocol names: nothing else that a client writes gets
+// there.
+HttpRequest for_server(HttpRequest request);
+
+// A number and a unit, m for milliseconds or u for microseconds; nothing if it can't be read.
+std::optional<Millis> parse_time_left(std::string_view text);
+
+}  // namespace elmbay
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -12,13 +12,31 @@
 using tcp = asio::ip::tcp;
 using Error = boost::system::error_code;
 
-constexpr Millis kLinger = 500;          // new connections go on coming after SIGTERM
-constexpr Millis kQuiet = 100;           // what has been idle this long is not about to be written to
-constexpr Millis kStalled = 3000;        // for a request to come whole, once it has begun
-constexpr Millis kSweep = 20;            // between two looks at idle connections while draining
-constexpr Millis kAcceptPause = 20;      // when the system has no descriptor for us
-constexpr std::size_t kServersPart = 4;  // of the sockets, clients leave this part for those to servers
-constexpr Millis kLastRead = 1000;       // for the client to read an answer that came before all was sent
+constexpr Millis kLinger = 500;      // new connections go on coming after SIGTERM
+constexpr Millis kQuiet = 100;       // what has been idle this long is not about to be written to
+constexpr Millis kSweep = 20;        // between two looks at idle connections while draining
+constexpr Millis kAcceptPause = 20;  // when no socket is to be had for a client
+// A request must have come whole this long after its connection, or, on a kept one, after its first byte. The
+// usual client sends at once, and gives up sooner than this; who is owed an error is owed it within 3 s.
+constexpr Millis kStalled = 2500;
+// A kept connection that nobody uses costs a socket and some memory. The usual client comes back much sooner,
+// and the others ask once and stay for good.
+constexpr Millis kIdle = 5000;
+// Whoever sends what can't be used tends to send it again as soon as it is turned away: the next one waits
+// this long.
+constexpr Millis kCalm = 250;
+// After a final answer to a client that is still sending: time and bytes for it to read the answer.
+constexpr Millis kLastRead = 1000;
+constexpr std::size_t kMostWaste = 256 * 1024;
+constexpr Millis kWrite = 3000;  // for the client to take its answer; longer than any deadline
+// With no socket left for a new client those go that never asked: if nothing has come for this long, if not a
+// whole request for that long.
+constexpr Millis kNeverAsked = 50, kHalfAsked = 500;
+// The parser reads ahead of itself this far at most: a chunk's line or a trailer without end stops here.
+constexpr std::size_t kMostAhead = 2 * kMostHeader;
+// An id is taken once within twice this time: a repeat of one just finished may still run at a server.
+constexpr Millis kIdMemory = 3000;
+constexpr std::size_t kMostIds = 16384;  // the busiest sidecar's of that time, twice over
 
 HttpResponse plain(http::status status, const char* words) {
     HttpResponse response(status, 11);
@@ -27,6 +45,8 @@
     return response;
 }
 
+constexpr Problem kTooSlow{http::status::request_timeout, "no request came in time\n"};
+
 std::string_view path_of(const HttpRequest& request) {
     const std::string_view target(request.target().data(), request.target().size());
     return target.substr(0, target.find('?'));
@@ -34,165 +54,249 @@
 
 }  // namespace
 
-void remove_hop_by_hop(http::fields& fields) {
-    for (const http::field name :
-         {http::field::connection, http::field::keep_alive, http::field::te, http::field::trailer,
-          http::field::transfer_encoding, http::field::upgrade, http::field::proxy_connection,
-          http::field::expect, http::field::content_length})
-        fields.erase(name);
-}
-
 // One connection of the application. Between requests, and while one is in work, it only waits to be
 // readable: that tells at once when the client leaves, and reads nothing, so that an idle connection can be
 // closed without losing a request that has come but whose handler has not run.
 class Listener::Connection : public std::enable_shared_from_this<Connection> {
 public:
-    Connection(Listener& owner, tcp::socket socket) : owner_(owner), socket_(std::move(socket)) {}
+    Connection(Listener& owner, tcp::socket socket)
+        : owner_(owner), socket_(std::move(socket)), since_(owner.clock_.now()) {}
 
     void start() {
         Error ignored;
         socket_.set_option(tcp::no_delay(true), ignored);
-        idle_since_ = owner_.clock_.now();
+        limit(kStalled);
         await();
     }
 
-    bool idle() const { return !busy_ && !writing_ && !reading_ && !early_ && !closed_; }
-    Millis idle_since() const { return idle_since_; }
+    bool idle() const { return state_ == State::idle && !calming_; }
+    Millis since() const { return since_; }  // when it became idle; at first: when it came
+    // Whether it may go when sockets are wanted.
+    bool expendable(Millis now) const {
+        if (state_ == State::ended) return true;
+        if (state_ == State::reading) return !asked_ && now - since_ > kHalfAsked;
+        return state_ == State::idle && (asked_ || now - since_ > kNeverAsked) && !has_unread();
+    }
     // Whether bytes lie here that have not been read: a request may be among them.
     bool has_unread() const {
         Error error;
-        return buffer_.size() > 0 || socket_.available(error) > 0;
+        return socket_.available(error) > 0;
     }
 
     void answer(HttpResponse response) {
-        busy_ = false;
         id_ = 0;
         write(std::move(response));
     }
 
     void close() {
-        if (closed_) return;
-        closed_ = true;
+        if (state_ == State::closed) return;
+        state_ = State::closed;
         Error ignored;
         socket_.close(ignored);
-        owner_.timers_.cancel(last_read_);
-        owner_.timers_.cancel(stalled_);
-        if (id_ != 0) {
-            const RequestId gone = std::exchange(id_, 0);
-            owner_.in_work_.erase(gone);
-            owner_.handlers_.gone(gone);
-        }
+        owner_.timers_.cancel(timer_);
+        leave();
         owner_.remove(*this);
     }
 
     Connections::iterator place;
+    bool asked() const { return asked_; }  // a request has come from it, whatever became of that
 
 private:
+    enum class State { idle, reading, working, writing, ended, closed };
+
+    void limit(Millis within) {
+        owner_.timers_.cancel(timer_);
+        timer_ = owner_.timers_.set(owner_.clock_.now() + within, [self = shared_from_this()] {
+            self->timer_ = {};
+            self->time_over();
+        });
+    }
+
+    // What never speaks, or never ends its request, is told so; what has been idle for long goes, unless a
+    // request is just there; whatever else takes that long is not reading its answer.
+    void time_over() {
+        if (std::exchange(calming_, false)) return rest();
+        if (state_ == State::idle && has_unread()) {
+            limit(kHalfAsked);
+            return read();
+        }
+        if (state_ == State::reading) {
+            // The read's handler goes on from here: until it has run, the parser is the read's.
+            late_ = true;
+            Error ignored;
+            socket_.cancel(ignored);
+        } else if (state_ == State::idle && !asked_) {
+            turn_away(kTooSlow, true);
+        } else {
+            close();
+        }
+    }
+
     void await() {
+        if (waiting_) return;
         waiting_ = true;
         socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](Error error) {
             self->waiting_ = false;
-            if (!self->closed_) error ? self->close() : self->on_readable();
+            if (self->state_ != State::closed) error ? self->close() : self->on_readable();
         });
     }
 
     void on_readable() {
-        if (ended_) return discard();
-        if (!busy_ && !writing_) return read();
+        if (state_ == State::ended) return discard();
+        if (state_ == State::idle) return calming_ ? void() : read();
         char byte = 0;
         const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (got > 0)
-            early_ = true;  // sent before the last answer: its turn comes after that
-        else if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-            await();
-        else if (writing_)
+        if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return await();
+        if (got <= 0) {
+            // The client has closed, or ended its sending: it has gone away, as the protocol has it.
+            if (state_ != State::writing) return close();
             last_ = true;  // the connection ends with the answer
-        else
-            close();  // the client has closed, or ended its sending: it has gone away, as the protocol has it
+        } else if (state_ == State::working) {
+            // More before the answer has begun: nothing that the application does. What it meant by the
+            // request in work can't be known either.
+            leave();
+            turn_away({http::status::bad_request, "a request came before the answer to the last\n"}, true);
+        }
+        // While the answer is being written its client may have read it already: the next request waits.
+    }
+
+    // The client has no further part in the request in work.
+    void leave() {
+        if (id_ == 0) return;
+        const RequestId gone = std::exchange(id_, 0);
+        owner_.in_work_.erase(gone);
+        owner_.handlers_.gone(gone);
     }
 
     void read() {
+        state_ = State::reading;
+        late_ = false;
+        if (asked_) limit(kStalled);  // else its time runs from when it came
+        buffer_.emplace(kMostAhead);
         parser_.emplace();
         parser_->body_limit(kMostBody);
         parser_->header_limit(kMostHeader);
-        reading_ = true;
-        stalled_ = owner_.timers_.set(owner_.clock_.now() + kStalled, [self = shared_from_this()] {
-            self->stalled_ = {};
-            self->close();
-        });
-        http::async_read(socket_, buffer_, *parser_,
-                         [self = shared_from_this()](Error error, std::size_t) { self->on_read(error); });
+        http::async_read_header(
+            socket_, *buffer_, *parser_,
+            [self = shared_from_this()](Error error, std::size_t) { self->on_head(error); });
+    }
+
+    // Judged by its head: what can't be used is turned away before its body is taken, and what contradicts
+    // itself before it is decided where its body ends.
+    void on_head(Error error) {
+        if (state_ != State::reading) return;
+        if (error) return on_unreadable(error);
+        if (late_ && !parser_->is_done()) return turn_away(kTooSlow, true);
+        const HttpRequest& head = parser_->get();
+        const std::string_view path = path_of(head);
+        problem_.reset();
+        if (!framing_is_clear(head)) {
+            return turn_away({http::status::bad_request, "framing that contradicts itself\n"}, true);
+        } else if (path == "/up") {
+            if (head.method() != http::verb::get)
+                problem_ = Problem{http::status::method_not_allowed, "GET\n"};
+        } else if (path != "/api" && path.substr(0, 5) != "/api/") {
+            problem_ = Problem{http::status::not_found, "no such path\n"};
+        } else {
+            problem_ = owner_.handlers_.problem(head);
+        }
+        if (head.method() == http::verb::get && !parser_->is_done())
+            problem_ = Problem{http::status::bad_request, "GET with a body\n"};
+        if (parser_->is_done()) return take();
+        if (problem_) return turn_away(*problem_, true);
+        http::async_read(socket_, *buffer_, *parser_,
+                         [self = shared_from_this()](Error e, std::size_t) { self->on_body(e); });
+    }
+
+    void on_body(Error error) {
+        if (state_ != State::reading) return;
+        error ? on_unreadable(error) : take();
     }
 
-    void on_read(Error error) {
-        reading_ = false;
-        owner_.timers_.cancel(stalled_);
-        if (closed_) return;
-        if (!error) return take();
+    void on_unreadable(Error error) {
+        if (late_ && error == asio::error::operation_aborted) return turn_away(kTooSlow, true);
         const bool malformed =
             error.category() == http::make_error_code(http::error::end_of_stream).category() &&
             error != http::error::end_of_stream && error != http::error::partial_message;
         if (!malformed) return close();
-        last_ = true;
         if (error == http::error::body_limit)
-            write(plain(http::status::payload_too_large, "body too large\n"));
+            turn_away({http::status::payload_too_large, "body too large\n"}, true);
+        else if (error == http::error::header_limit)
+            turn_away({http::status::request_header_fields_too_large, "head too large\n"}, true);
         else
-            write(plain(http::status::bad_request, "malformed request\n"));
+            turn_away({http::status::bad_request, "malformed request\n"}, true);
     }
 
+    // A whole request is there.
     void take() {
+        owner_.timers_.cancel(timer_);
+        last_ = !parser_->keep_alive();
+        if (buffer_->size() > 0 || has_unread())
+            return turn_away({http::status::bad_request, "a request came before the answer to the last\n"},
+                             true);
         HttpRequest request = parser_->release();
-        last_ = !request.keep_alive();
-        const std::string_view path = path_of(request);
-        if (path == "/up") {
+        parser_.reset();
+        buffer_.reset();
+        if (problem_) return turn_away(*problem_, false);
+        if (!std::exchange(asked_, true)) owner_.kept_.splice(owner_.kept_.end(), owner_.fresh_, place);
+        if (path_of(request) == "/up") {
             if (owner_.handlers_.ready() && !owner_.draining_)
                 write(plain(http::status::ok, "up\n"));
             else
                 write(plain(http::status::service_unavailable, "not ready\n"));
             return;
         }
-        if (path != "/api" && path.substr(0, 5) != "/api/")
-            return write(plain(http::status::not_found, "no such path\n"));
-        if (request.method() != http::verb::get && request.method() != http::verb::post)
-            return write(plain(http::status::method_not_allowed, "GET or POST\n"));
-        if (request["X-Correlation-Id"].empty())
-            return write(plain(http::status::bad_request, "X-Correlation-Id is missing\n"));
-        busy_ = true;
+        // The same id again may be somebody else's open request: two of it must not be out together.
+        if (!owner_.remember(field(request, "X-Correlation-Id")))
+            return turn_away({http::status::conflict, "X-Correlation-Id has been used\n"}, false);
+        state_ = State::working;
         id_ = owner_.next_id_++;
         owner_.in_work_[id_] = this;
         const auto self = shared_from_this();
-        if (buffer_.size() > 0)
-            early_ = true;
-        else
-            await();  // to see the client leave
+        await();  // to see the client leave
         owner_.handlers_.arrived(id_, std::move(request));
     }
 
+    void turn_away(const Problem& problem, bool last) {
+        last_ = last_ || last;
+        turned_away_ = true;
+        write(plain(problem.status, problem.words));
+    }
+
     void write(HttpResponse response) {
-        if (owner_.draining_ && !early_) last_ = true;
+        state_ = State::writing;
+        parser_.reset();
+        buffer_.reset();
+        if (owner_.draining_) last_ = true;
         response.version(11);
         response.keep_alive(!last_);
         response.prepare_payload();
         response_.emplace(std::move(response));
-        writing_ = true;
+        limit(kWrite);
         http::async_write(socket_, *response_,
                           [self = shared_from_this()](Error error, std::size_t) { self->on_written(error); });
     }
 
     void on_written(Error error) {
-        if (closed_) return;
-        writing_ = false;
+        if (state_ != State::writing) return;
         response_.reset();
         if (error) return close();
         // Only an answer that said so is the last: the client may already be writing on a connection that it
         // was told will stay.
         if (last_) return end();
-        idle_since_ = owner_.clock_.now();
-        owner_.connections_.splice(owner_.connections_.end(), owner_.connections_, place);
-        if (std::exchange(early_, false) || buffer_.size() > 0)
-            read();
-        else if (!waiting_)
-            await();
+        state_ = State::idle;
+        if (std::exchange(turned_away_, false)) {
+            calming_ = true;
+            return limit(kCalm);
+        }
+        rest();
+    }
+
+    void rest() {
+        since_ = owner_.clock_.now();
+        owner_.rested(*this);
+        limit(kIdle);
+        await();
     }
 
     // An answer must reach the client also when it is still sending: closing over unread bytes would reset
@@ -202,35 +306,40 @@
         Error error;
         socket_.shutdown(tcp::socket::shutdown_send, error);
         if (error || owner_.closing_) return close();
-        busy_ = ended_ = true;
-        last_read_ = owner_.timers_.set(owner_.clock_.now() + kLastRead, [self = shared_from_this()] {
-            self->last_read_ = {};
-            self->close();
-        });
-        if (!waiting_) discard();
+        state_ = State::ended;
+        socket_.non_blocking(true, error);
+        limit(kLastRead);
+        await();
     }
     void discard() {
-        socket_.async_read_some(asio::buffer(waste_), [self = shared_from_this()](Error error, std::size_t) {
-            if (self->closed_) return;
-            if (error) return self->close();
-            self->discard();
-        });
+        while (wasted_ < kMostWaste) {
+            Error error;
+            const std::size_t got = socket_.read_some(asio::buffer(owner_.waste_), error);
+            if (error == asio::error::would_block || error == asio::error::try_again) return await();
+            if (error) break;
+            wasted_ += got;
+        }
+        close();
     }
 
     Listener& owner_;
     tcp::socket socket_;
-    boost::beast::flat_buffer buffer_;
+    // Only while a request is being read: idle connections are many.
+    std::optional<boost::beast::flat_buffer> buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
     std::optional<HttpResponse> response_;
-    std::array<char, 512> waste_{};
-    RequestId id_ = 0;  // of the request in work
-    bool busy_ = false, writing_ = false, early_ = false, closed_ = false;
-    bool waiting_ = false;  // to be readable
-    bool reading_ = false;  // a request, whose first byte has come
-    bool ended_ = false;    // our sending is over
-    bool last_ = false;     // the next answer is the connection's last
-    Millis idle_since_ = 0;
-    TimerQueue::Key last_read_{}, stalled_{};
+    std::optional<Problem> problem_;  // of the request being read
+    RequestId id_ = 0;                // of the request in work
+    State state_ = State::idle;
+    bool asked_ = false;
+    bool waiting_ = false;      // to be readable
+    bool last_ = false;         // the next answer is the connection's last
+    bool late_ = false;         // the time for the request being read is over
+    bool turned_away_ = false;  // by the answer that is being written
+    bool calming_ = false;      // turned away: not read again yet
+    std::size_t wasted_ = 0;    // bytes read after the last answer
+    Millis since_;
+    TimerQueue::Key timer_{};
 };
 
 Listener::Listener(asio::io_context& io, const Endpoint& listen, SocketBudget& budget, TimerQueue& timers,
@@ -247,7 +356,7 @@
     acceptor_.bind(listen);
     acceptor_.listen(4096);
     acceptor_.non_blocking(true);
-    budget_.add_shedder([this] { return shed(); });
+    budget_.set_shedder(Side::clients, [this] { return shed(); });
     accept();
 }
 
@@ -255,7 +364,7 @@
 
 void Listener::accept() {
     if (accepting_ || !acceptor_.is_open()) return;
-    if (!budget_.take(budget_.limit() / kServersPart)) {
+    if (!budget_.take(Side::clients)) {
         // The kernel's queue keeps them until a socket is free, or until one of ours becomes idle and can go.
         timers_.set(clock_.now() + kAcceptPause, [this] { accept(); });
         return;
@@ -267,7 +376,7 @@
             admit(std::move(socket));
             return accept();
         }
-        budget_.give_back();
+        budget_.give_back(Side::clients);
         if (!acceptor_.is_open()) return;
         // No descriptor (EMFILE) or a client that left already: neither ends the accepting.
         if (error == asio::error::connection_aborted) return accept();
@@ -278,7 +387,7 @@
 
 void Listener::admit(tcp::socket socket) {
     const auto connection = std::make_shared<Connection>(*this, std::move(socket));
-    connection->place = connections_.insert(connections_.end(), connection);
+    connection->place = fresh_.insert(fresh_.end(), connection);
     connection->start();
 }
 
@@ -290,20 +399,39 @@
     connection->answer(std::move(response));
 }
 
+// First those that never asked, the oldest of them first, then those that have been idle longest.
 bool Listener::shed() {
-    for (const auto& connection : connections_)
-        if (connection->idle() && !connection->has_unread()) {
-            const auto keep = connection;
-            keep->close();
-            return true;
-        }
+    const Millis now = clock_.now();
+    for (Connections* list : {&fresh_, &kept_})
+        for (const auto& connection : *list)
+            if (connection->expendable(now)) {
+                const auto keep = connection;
+                keep->close();
+                return true;
+            }
     return false;
 }
 
+void Listener::rested(Connection& connection) {
+    Connections& list = connection.asked() ? kept_ : fresh_;
+    list.splice(list.end(), list, connection.place);
+}
+
 void Listener::remove(Connection& connection) {
-    connections_.erase(connection.place);  // the caller holds a reference
-    budget_.give_back();
-    if (closing_ && connections_.empty() && done_) asio::post(io_, std::exchange(done_, nullptr));
+    (connection.asked() ? kept_ : fresh_).erase(connection.place);  // the caller holds a reference
+    budget_.give_back(Side::clients);
+    if (closing_ && connections() == 0 && done_) asio::post(io_, std::exchange(done_, nullptr));
+}
+
+bool Listener::remember(std::string_view id) {
+    const Millis now = clock_.now();
+    if (now >= ids_until_ || ids_.size() >= kMostIds) {
+        earlier_ids_.swap(ids_);
+        ids_.clear();
+        ids_until_ = now + kIdMemory;
+    }
+    std::string key(id);
+    return !earlier_ids_.contains(key) && ids_.insert(std::move(key)).second;
 }
 
 void Listener::drain(std::function<void()> done) {
@@ -324,18 +452,18 @@
     for (;;) {
         Error error;
         tcp::socket socket = acceptor_.accept(error);
-        if (error || !budget_.take()) return;
+        if (error || !budget_.take(Side::clients)) return;
         admit(std::move(socket));
     }
 }
 
 void Listener::close_idle() {
     const Millis before = clock_.now() - kQuiet;
-    const Connections all = connections_;
-    for (const auto& connection : all)
-        if (connection->idle() && connection->idle_since() < before && !connection->has_unread())
-            connection->close();
-    if (!connections_.empty())
+    for (const Connections& all : {Connections(fresh_), Connections(kept_)})
+        for (const auto& connection : all)
+            if (connection->idle() && connection->since() < before && !connection->has_unread())
+                connection->close();
+    if (connections() > 0)
         timers_.set(clock_.now() + kSweep, [this] { close_idle(); });
     else if (done_)
         asio::post(io_, std::exchange(done_, nullptr));
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -1,35 +1,28 @@
 // The application's side: its connections, GET /up, requests in, answers out. Decides nothing about requests.
 #pragma once
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http.hpp>
 #include <functional>
 #include <list>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "net/config.hpp"
+#include "net/intake.hpp"
+#include "net/message.hpp"
 #include "net/sockets.hpp"
 #include "net/timing.hpp"
 
 namespace elmbay {
 
-namespace http = boost::beast::http;
-using hollybeam::RequestId;
-using HttpRequest = http::request<http::string_body>;
-using HttpResponse = http::response<http::string_body>;
-
-constexpr std::size_t kMostBody = 64 * 1024;
-constexpr std::size_t kMostHeader = 16 * 1024;
-
-// Takes off what belongs to one connection only and must not be passed on.
-void remove_hop_by_hop(http::fields& fields);
-
 class Listener {
 public:
     struct Handlers {
+        std::function<std::optional<Problem>(const RequestHead&)> problem;  // why it can't be used
         std::function<void(RequestId, HttpRequest)> arrived;  // each gets exactly one answer() or gone()
         std::function<void(RequestId)> gone;
         std::function<bool()> ready;  // for GET /up
@@ -50,7 +43,7 @@
     void drain(std::function<void()> done);
 
     Endpoint local_endpoint() const { return acceptor_.local_endpoint(); }
-    std::size_t connections() const { return connections_.size(); }
+    std::size_t connections() const { return fresh_.size() + kept_.size(); }
 
 private:
     class Connection;
@@ -61,7 +54,10 @@
     void admit(asio::ip::tcp::socket socket);
     bool shed();
     void close_idle();
+    void rested(Connection& connection);
     void remove(Connection& connection);
+    // False for an id that is in work, or has been a moment ago.
+    bool remember(std::string_view id);
 
     asio::io_context& io_;
     asio::ip::tcp::acceptor acceptor_;
@@ -69,7 +65,11 @@
     TimerQueue& timers_;
     const Clock& clock_;
     Handlers handlers_;
-    Connections connections_;
+    Connections fresh_, kept_;  // that never asked, and the others
+    std::unordered_set<std::string> ids_,
+        earlier_ids_;  // taken of late; the first becomes the second in turn
+    Millis ids_until_ = 0;
+    std::array<char, 64 * 1024> waste_{};  // what nobody wants
     std::unordered_map<RequestId, Connection*> in_work_;
     RequestId next_id_ = 1;
     bool accepting_ = false;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -16,6 +16,8 @@
 
 // The answer has to be with the client when its patience ends, so it leaves this much earlier.
 constexpr Millis kAnswerMargin = 8;
+// Zones, or kinds of machine: a deployment has a handful of each.
+constexpr std::size_t kMostNames = 256;
 // Descriptors that the process needs beside those counted: standard streams, epoll, timer, signals, listener.
 constexpr std::size_t kOwnDescriptors = 24;
 
@@ -26,11 +28,6 @@
     return std::max<std::size_t>(configured, kOwnDescriptors + 8) - kOwnDescriptors;
 }
 
-std::string_view field(const HttpRequest& request, const char* name) {
-    const auto value = request[name];
-    return {value.data(), value.size()};
-}
-
 template <class... Ts>
 struct Overloaded : Ts... {
     using Ts::operator()...;
@@ -40,17 +37,6 @@
 
 }  // namespace
 
-std::optional<Millis> parse_time_left(std::string_view text) {
-    if (text.empty()) return {};
-    const char unit = text.back();
-    if (unit != 'm' && unit != 'u') return {};
-    double value = 0;
-    const char* end = text.data() + text.size() - 1;
-    const auto [at, wrong] = std::from_chars(text.data(), end, value);
-    if (wrong != std::errc() || at != end || !std::isfinite(value) || value < 0) return {};
-    return unit == 'u' ? value / 1000 : value;
-}
-
 Sidecar::Sidecar(asio::io_context& io, Config config)
     : config_(std::move(config)),
       timers_(io, clock_),
@@ -70,63 +56,29 @@
                       if (config_.site.settings.list_on_request) give(ServerList{ListKind::failed, {}});
                   }}),
       listener_(io, config_.listen, budget_, timers_, clock_,
-                {[this](RequestId id, HttpRequest request) { arrived(id, std::move(request)); },
+                {[this](const RequestHead& head) { return problem_of(head, config_.site); },
+                 [this](RequestId id, HttpRequest request) { arrived(id, std::move(request)); },
                  [this](RequestId id) { gone(id); }, [this] { return ready_; }}) {
     give(Started{});
     listed(ListKind::saved, std::exchange(config_.known, {}));
     if (!config_.site.settings.list_on_request) discovery_.watch();
 }
 
-void Sidecar::reload(const Config& config) { discovery_.move_to(config.discovery); }
+void Sidecar::reload(const Config& config) {
+    budget_.set_limit(socket_limit(config.sockets));
+    discovery_.move_to(config.discovery);
+}
 
 void Sidecar::drain(std::function<void()> done) { listener_.drain(std::move(done)); }
 
 // ---- Events -----------------------------------------------------------------------------------------------
 
 void Sidecar::arrived(RequestId id, HttpRequest request) {
-    const RequestArrived event = describe(id, request);
-    remove_hop_by_hop(request);
-    requests_[id].message = std::make_shared<const HttpRequest>(std::move(request));
+    const RequestArrived event = describe(id, request, config_.site, kAnswerMargin);
+    requests_[id].message = std::make_shared<const HttpRequest>(for_server(std::move(request)));
     give(event);
 }
 
-// Whatever is missing, unknown or contradicts itself gets the most careful handling: as unsafe to repeat.
-RequestArrived Sidecar::describe(RequestId id, const HttpRequest& request) const {
-    const Site& site = config_.site;
-    RequestArrived event;
-    event.id = id;
-    const auto at = std::find(site.classes.begin(), site.classes.end(), field(request, "X-Service-Class"));
-    const auto index = static_cast<std::size_t>(at - site.classes.begin());
-    event.class_index = static_cast<std::uint32_t>(index);
-    Millis longest = 0;
-    if (index < site.give_up.size())
-        longest = site.give_up[index];
-    else if (!site.give_up.empty())
-        longest = *std::min_element(site.give_up.begin(), site.give_up.end());
-    const std::optional<Millis> left = parse_time_left(field(request, "X-Time-Left"));
-    event.time_left = std::max(1.0, left.value_or(longest) - kAnswerMargin);
-    constexpr auto careful = static_cast<std::uint32_t>(-1);
-    if (!left) event.class_index = careful;
-    if (index < site.classes.size()) {
-        const Effect effect = site.settings.classes[index].effect;
-        if (effect == Effect::by_key && field(request, "Idempotency-Key").empty())
-            event.class_index = careful;
-        if (effect == Effect::repeatable && request.method() != http::verb::get) event.class_index = careful;
-    }
-    if (const auto account = field(request, "X-Account"); !account.empty()) {
-        const auto tenant = std::find(site.tenants.begin(), site.tenants.end(), account);
-        if (tenant != site.tenants.end())
-            event.tenant = static_cast<std::uint32_t>(tenant - site.tenants.begin());
-    }
-    const auto hint = field(request, "X-Weight-Hint");
-    double micros = 0;
-    const auto [end, wrong] = std::from_chars(hint.data(), hint.data() + hint.size(), micros);
-    if (wrong == std::errc() && end == hint.data() + hint.size() && std::isfinite(micros))
-        event.effort = std::max(0.0, micros / 1000);
-    event.repeat = field(request, "X-Repeat") == "1";
-    return event;
-}
-
 void Sidecar::gone(RequestId id) {
     const auto at = requests_.find(id);
     if (at == requests_.end() || at->second.over) return;
@@ -142,26 +94,59 @@
     --r.out;
     r.last = outcome;
     if (outcome == Outcome::completed && !r.over) {
-        remove_hop_by_hop(response);
-        answer(key.request, std::move(response));
+        HttpResponse served(http::status::ok, 11);
+        if (const auto type = response[http::field::content_type]; !type.empty())
+            served.set(http::field::content_type, type);
+        served.body() = std::move(response.body());
+        answer(key.request, std::move(served));
     }
     give(AttemptEnded{key.request, key.number, outcome, duration, r.over});
     settle(key.request);
 }
 
+// One address, one process. The list may tell of a new server there before it tells that the old one has
+// gone: what went to the old one's name would reach the new one, cold and unasked. The one that started last
+// has the address.
+void Sidecar::displace(const Target& t, Known& arrived, ServerList& list) {
+    for (auto& [uid, other] : servers_) {
+        if (&other == &arrived || !other.listed || other.endpoint != t.endpoint) continue;
+        Known& gone = other.info.online_since > t.online_since ? arrived : other;
+        gone.listed = false;
+        gone.info.phase = Phase::off;
+        if (&gone == &arrived) return;
+        list.servers.push_back(gone.info);
+        upstream_.set_server(gone.id, {}, false);
+    }
+}
+
+// The list's words for zones and kinds are kept for good: one that goes on making up new ones must not fill
+// the memory.
+std::uint32_t Sidecar::name_number(std::vector<std::string>& names, const std::string& name) {
+    const bool known = std::find(names.begin(), names.end(), name) != names.end();
+    return known || names.size() < kMostNames ? number_of(names, name) : 0;
+}
+
 void Sidecar::listed(ListKind kind, const Listing& listing) {
     ServerList list{kind, {}};
-    std::map<std::string, Known> before;
     if (kind != ListKind::incremental)
         for (auto& [uid, known] : servers_) known.listed = false;
     for (const Target& t : listing.targets) {
+        if (t.phase == Phase::off && !servers_.contains(t.uid))
+            continue;  // never known, or already forgotten
         Known& known = servers_[t.uid];
         if (known.id == 0) known.id = next_server_++;
+        known.info = {known.id,
+                      name_number(config_.site.zones, t.zone),
+                      name_number(config_.site.kinds, t.kind),
+                      t.cell,
+                      t.phase,
+                      t.online_since};
         known.listed = t.phase != Phase::off;
-        list.servers.push_back({known.id, number_of(config_.site.zones, t.zone),
-                                number_of(config_.site.kinds, t.kind), t.cell, t.phase, t.online_since});
+        known.endpoint = t.endpoint;
+        if (known.listed) displace(t, known, list);
+        list.servers.push_back(known.info);
         // The sockets hear of a drain before the module acts on it: nothing waiting may slip out.
-        upstream_.set_server(known.id, t.endpoint, t.phase == Phase::on);
+        upstream_.set_server(known.id, t.endpoint, known.info.phase == Phase::on, t.online_since);
         if (t.phase == Phase::on) ready_ = true;
     }
     for (const auto& [uid, known] : servers_)
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -12,6 +12,7 @@
 #include "hollybeam/balancer.hpp"
 #include "net/config.hpp"
 #include "net/discovery.hpp"
+#include "net/intake.hpp"
 #include "net/listener.hpp"
 #include "net/sockets.hpp"
 #include "net/timing.hpp"
@@ -27,8 +28,8 @@
     Sidecar(const Sidecar&) = delete;
     Sidecar& operator=(const Sidecar&) = delete;
 
-    // Takes over what a new configuration may change while requests are in work: where discovery is. The rest
-    // of it needs a restart.
+    // Takes over what a new configuration may change while requests are in work: where discovery is, and how
+    // many sockets there may be. The rest of it needs a restart.
     void reload(const Config& config);
     // Finishes what it has taken, for SIGTERM; done is called when nothing is left.
     void drain(std::function<void()> done);
@@ -46,14 +47,18 @@
     struct Known {
         ServerId id = 0;
         bool listed = false;
+        Endpoint endpoint{};
+        hollybeam::ServerInfo info{};
     };
 
     void arrived(RequestId id, HttpRequest request);
-    hollybeam::RequestArrived describe(RequestId id, const HttpRequest& request) const;
     void gone(RequestId id);
     void attempt_ended(AttemptKey key, Outcome outcome, Millis duration, HttpResponse response);
     void listed(hollybeam::ListKind kind, const Listing& listing);
 
+    void displace(const Target& t, Known& arrived, hollybeam::ServerList& list);
+    static std::uint32_t name_number(std::vector<std::string>& names, const std::string& name);
+
     void give(hollybeam::Event event);
     void run(const hollybeam::Action& action);
     void answer(RequestId id, HttpResponse response);
@@ -75,7 +80,4 @@
     Listener listener_;
 };
 
-// A number and a unit, m for milliseconds or u for microseconds; nothing if it can't be read.
-std::optional<Millis> parse_time_left(std::string_view text);
-
 }  // namespace elmbay
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -1,33 +1,49 @@
 // The process's share of file descriptors.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <functional>
-#include <vector>
 
 namespace elmbay {
 
-// Counts the open sockets. At the limit it asks its shedders, in turn, to close an idle one; where none can,
-// the caller must do without: accepting waits, and an attempt ends as never ran.
+// Whose socket it is: the application's connections, or those to servers and discovery.
+enum class Side { clients, servers };
+
+// Counts the open sockets, each side in a part of its own: a flood of clients must not close the warm
+// connections to servers, nor the other way round. A side whose part is full is asked to close an idle one of
+// its own; where it can't, the caller must do without: accepting waits, and an attempt ends as never ran.
 class SocketBudget {
 public:
-    explicit SocketBudget(std::size_t limit) : limit_(limit) {}
-
-    // keep_free: so many are left to others.
-    bool take(std::size_t keep_free = 0) {
-        for (const auto& shed : shedders_)
-            while (used_ + keep_free >= limit_ && shed()) continue;
-        if (used_ + keep_free >= limit_) return false;
-        ++used_;
+    // Half to each: a request holds one client's socket and at most one to a server, and what else either
+    // side has open is idle and can go.
+    explicit SocketBudget(std::size_t limit) { set_limit(limit); }
+
+    // A lower one takes effect as sockets are closed.
+    void set_limit(std::size_t limit) {
+        of(Side::clients).limit = limit / 2;
+        of(Side::servers).limit = limit - limit / 2;
+    }
+    bool take(Side side) {
+        Part& part = of(side);
+        while (part.used >= part.limit && part.shed && part.shed()) continue;
+        if (part.used >= part.limit) return false;
+        ++part.used;
         return true;
     }
-    void give_back() { --used_; }
-    std::size_t limit() const { return limit_; }
-    void add_shedder(std::function<bool()> shed) { shedders_.push_back(std::move(shed)); }
+    void give_back(Side side) { --of(side).used; }
+    std::size_t used(Side side) const { return parts_[static_cast<std::size_t>(side)].used; }
+    // shed: closes one that is idle and gives it back before it returns true.
+    void set_shedder(Side side, std::function<bool()> shed) { of(side).shed = std::move(shed); }
 
 private:
-    std::size_t limit_, used_ = 0;
-    std::vector<std::function<bool()>> shedders_;
+    struct Part {
+        std::size_t limit = 0, used = 0;
+        std::function<bool()> shed{};
+    };
+    Part& of(Side side) { return parts_[static_cast<std::size_t>(side)]; }
+
+    std::array<Part, 2> parts_;
 };
 
 }  // namespace elmbay
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -3,9 +3,11 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <cmath>
 
+#include "net/answer.hpp"
+
 namespace elmbay {
 
 namespace {
@@ -18,7 +20,9 @@
 constexpr double kIdleShare = 0.8;
 constexpr Millis kRetireEvery = 500;
 
-bool is(const http::fields& fields, const char* name, const char* value) { return fields[name] == value; }
+// An attempt waits this share of its time for a connection: so that one that found none leaves time for
+// another server, or to tell the client while that can still use it.
+constexpr double kConnectShare = 0.25;
 
 }  // namespace
 
@@ -34,6 +38,7 @@
 struct Upstream::Server {
     ServerId id = 0;
     Endpoint endpoint;
+    Millis online_since = 0;
     bool may_send = true;
     std::size_t attempts = 0, connecting = 0;
     Millis heard = 0;                               // when it last answered anything
@@ -41,8 +46,10 @@
     std::list<std::shared_ptr<Connection>> idle{};  // the most recently used last
 };
 
-// One connection: connecting, idle or busy with one attempt. A read of the next response is pending from the
-// moment it is up, so that its end is seen while it is idle and no request is written to a dead one.
+// One connection: connecting, idle or busy with one attempt. It always waits to be readable and reads only
+// for an attempt: while it is idle nothing is taken from the kernel, so that usable() sees all that came, and
+// whatever comes before a request (an end, a second copy, noise) retires the connection instead of passing
+// for its answer.
 class Upstream::Connection : public std::enable_shared_from_this<Connection> {
 public:
     Connection(Upstream& owner, ServerId server, const Endpoint& endpoint)
@@ -63,29 +70,38 @@
             self->owner_.timers_.cancel(self->timer_);
             Error ignored;
             self->socket_.set_option(tcp::no_delay(true), ignored);
-            self->read();
+            self->socket_.non_blocking(true, ignored);
+            self->wait();
             self->owner_.connection_up(self);
         });
     }
 
     // Whether a request may be written: nothing has come that no request asked for, nor the end.
     bool usable() {
-        if (closed_ || buffer_.size() > 0) return false;
+        if (closed_) return false;
         char byte = 0;
         const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
-    void send(AttemptKey attempt, HttpRequest request) {
+    void send(AttemptKey attempt, std::shared_ptr<const HttpRequest> message, Millis left) {
         key = attempt;
         busy_ = true;
         written_ = read_ = false;
         writing_ = true;
-        request_.emplace(std::move(request));
+        answer_.emplace();
+        message_ = std::move(message);
+        // The body is the message's own: as many copies as attempts would be much of a small memory.
+        request_.emplace(message_->base());
+        request_->set("X-Time-Left", std::to_string(static_cast<std::int64_t>(left * 1000)) + "u");
+        request_->body() = {message_->body().data(), message_->body().size()};
+        request_->keep_alive(true);
+        request_->prepare_payload();
         http::async_write(socket_, *request_, [self = shared_from_this()](Error error, std::size_t) {
             if (self->closed_ && !self->broken_) return;
             self->writing_ = false;
             self->request_.reset();
+            self->message_.reset();
             self->written_ = !error;
             if (error || self->read_) self->finish(error);
         });
@@ -117,25 +133,36 @@
         owner_.connection_failed(self);
     }
 
-    void read() {
-        parser_.emplace();
-        parser_->body_limit(kMostBody);
-        parser_->header_limit(kMostHeader);
-        http::async_read(socket_, buffer_, *parser_,
-                         [self = shared_from_this()](Error error, std::size_t) { self->on_read(error); });
+    void wait() {
+        if (waiting_ || closed_) return;
+        waiting_ = true;
+        socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](Error) {
+            self->waiting_ = false;
+            if (!self->closed_) self->busy_ ? self->receive() : self->retire();
+        });
     }
 
-    void on_read(Error error) {
-        if (closed_) return;
-        if (!busy_) {
-            // The server has closed it, or says something that nobody asked for.
-            const auto self = shared_from_this();
-            auto& idle = owner_.servers_.at(server).idle;
-            std::erase(idle, self);
-            return close();
+    // The server has closed it, or says something that nobody asked for.
+    void retire() {
+        const auto self = shared_from_this();
+        std::erase(owner_.servers_.at(server).idle, self);
+        close();
+    }
+
+    // Takes all that is there: what came behind an answer belongs to the judgement on it.
+    void receive() {
+        for (;;) {
+            Error error;
+            const std::size_t got = socket_.read_some(asio::buffer(owner_.scratch_), error);
+            if (error == asio::error::would_block || error == asio::error::try_again) break;
+            if (error) {
+                ended_ = true;
+                break;
+            }
+            if (answer_->feed({owner_.scratch_.data(), got}) == AnswerReader::State::spoilt) break;
         }
+        if (!ended_ && answer_->state() == AnswerReader::State::more) return wait();
         read_ = true;
-        read_error_ = error;
         if (!writing_) return finish({});
         // Broken, or answered, before the write's end is known here. Whether the last byte went out decides
         // if the attempt may have run: only the write's own result tells. Closing brings it at once.
@@ -152,32 +179,29 @@
         const auto at = owner_.attempts_.find(key);
         if (at == owner_.attempts_.end()) return close();
         Attempt& attempt = *at->second;
-        Outcome outcome = Outcome::severed;
+        const auto state = answer_->state();
+        // Broken before the last byte was written: it never ran. After that it may have.
+        Outcome outcome = written_ ? Outcome::severed : Outcome::refused_connection;
+        bool reusable = false;
         HttpResponse response;
-        if (read_ && !read_error_) {
-            const bool reusable = !was_broken && written_ && parser_->keep_alive() && buffer_.size() == 0;
-            const bool framed = !parser_->need_eof() || parser_->get()["Connection"] == "close";
-            response = parser_->release();
+        if (state == AnswerReader::State::whole) {
+            reusable = !was_broken && !ended_ && !write_error && written_ && answer_->reusable();
+            response = answer_->release();
             const auto status = response.result_int();
-            if ((status == 503 || status == 504) && is(response, "X-Unprocessed", "1"))
+            if ((status == 503 || status == 504) && response["X-Unprocessed"] == "1")
                 outcome = Outcome::saturated;
-            else if (!written_)
-                outcome = Outcome::refused_connection;
-            else
-                outcome = status == 200 && framed ? Outcome::completed : Outcome::errored;
+            else if (written_)  // a served one has a body, by the protocol
+                outcome = status == 200 && !response.body().empty() ? Outcome::completed : Outcome::errored;
             owner_.servers_.at(server).heard = owner_.clock_.now();
-            attempt.connection.reset();
-            // 1xx and the like leave more to come on this connection.
-            if (reusable && status >= 200) {
-                read();
-                owner_.make_idle(self);
-            } else {
-                close();
-            }
+        } else if (state == AnswerReader::State::spoilt && written_) {
+            outcome = Outcome::errored;  // it has run, and nobody can tell how it ended
+        }
+        answer_.reset();
+        attempt.connection.reset();
+        if (reusable) {
+            wait();
+            owner_.make_idle(self);
         } else {
-            // Broken before the last byte was written: it never ran. After that it may have.
-            outcome = write_error && !written_ ? Outcome::refused_connection : Outcome::severed;
-            attempt.connection.reset();
             close();
         }
         owner_.end(attempt, outcome, std::move(response));
@@ -185,12 +209,14 @@
 
     Upstream& owner_;
     tcp::socket socket_;
-    boost::beast::flat_buffer buffer_;
-    std::optional<http::response_parser<http::string_body>> parser_;
-    std::optional<HttpRequest> request_;
+    std::optional<AnswerReader> answer_;
+    std::shared_ptr<const HttpRequest> message_;
+    std::optional<http::request<http::span_body<const char>>> request_;
     TimerQueue::Key timer_{};
-    Error read_error_;
-    bool busy_ = false, writing_ = false, read_ = false, closed_ = false;
+    bool busy_ = false, writing_ = false, closed_ = false;
+    bool waiting_ = false;  // to be readable
+    bool read_ = false;     // an answer, or that none will come
+    bool ended_ = false;    // nothing more comes
     bool written_ = false;  // the request's last byte has been
     bool broken_ = false;   // closed, and the write's result is awaited
 };
@@ -198,19 +224,20 @@
 Upstream::Upstream(asio::io_context& io, SocketBudget& budget, TimerQueue& timers, const Clock& clock,
                    Limits limits, Ended ended)
     : io_(io), budget_(budget), timers_(timers), clock_(clock), limits_(limits), ended_(std::move(ended)) {
-    budget_.add_shedder([this] { return shed(); });
+    budget_.set_shedder(Side::servers, [this] { return shed(); });
     timers_.set(clock_.now() + kRetireEvery, [this] { retire_idle(); });
 }
 
 Upstream::~Upstream() = default;
 
-void Upstream::set_server(ServerId id, const Endpoint& endpoint, bool may_send) {
+void Upstream::set_server(ServerId id, const Endpoint& endpoint, bool may_send, Millis online_since) {
     Server& server = servers_[id];
     server.id = id;
-    const bool moved = server.endpoint != endpoint;
-    if (may_send) server.endpoint = endpoint;
+    const bool moved = server.endpoint != endpoint || server.online_since < online_since;
+    if (may_send) server.endpoint = endpoint, server.online_since = online_since;
     server.may_send = may_send;
-    // A server that wants nothing new has no use for idle connections, and an old address none at all.
+    // A server that wants nothing new has no use for idle connections; an old address or an earlier process
+    // has none at all.
     if (moved || !may_send) {
         const auto idle = std::exchange(server.idle, {});
         for (const auto& connection : idle) connection->close();
@@ -244,8 +271,8 @@
     attempt->started = clock_.now();
     attempt->until = until;
     attempt->request = std::move(request);
-    attempt->timer = timers_.set(std::min(until, attempt->started + limits_.connect_timeout),
-                                 [this, key] { expired(key); });
+    const Millis patience = std::min(limits_.connect_timeout, (until - attempt->started) * kConnectShare);
+    attempt->timer = timers_.set(attempt->started + patience, [this, key] { expired(key); });
     attempts_[key] = std::move(attempt);
     Server& server = servers_.at(to);
     ++server.attempts;
@@ -274,7 +301,7 @@
         write(attempt, connection);
     }
     while (server.connecting < server.waiting.size()) {
-        if (!budget_.take()) {
+        if (!budget_.take(Side::servers)) {
             // No socket to be had: those that no connection is on its way for end as never ran.
             Attempt& attempt = *attempts_.at(server.waiting.back());
             server.waiting.pop_back();
@@ -287,15 +314,10 @@
 }
 
 void Upstream::write(Attempt& attempt, const std::shared_ptr<Connection>& connection) {
-    HttpRequest request = *attempt.request;
-    const Millis left = std::max(0.0, attempt.until - clock_.now());
-    request.set("X-Time-Left", std::to_string(static_cast<std::int64_t>(left * 1000)) + "u");
-    request.keep_alive(true);
-    request.prepare_payload();
     attempt.connection = connection;
     timers_.cancel(attempt.timer);
     attempt.timer = timers_.set(attempt.until, [this, key = attempt.key] { expired(key); });
-    connection->send(attempt.key, std::move(request));
+    connection->send(attempt.key, attempt.request, std::max(0.0, attempt.until - clock_.now()));
 }
 
 // The attempt's time is over. The connection is closed first: whatever comes next for this request must not
@@ -384,7 +406,7 @@
     timers_.set(clock_.now() + std::min(kRetireEvery, limits_.idle_close / 20), [this] { retire_idle(); });
 }
 
-void Upstream::drop() { budget_.give_back(); }
+void Upstream::drop() { budget_.give_back(Side::servers); }
 
 bool Upstream::shed() {
     Server* oldest = nullptr;
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -8,13 +8,15 @@
 #include <map>
 #include <memory>
 
-#include "net/listener.hpp"
+#include "net/config.hpp"
+#include "net/message.hpp"
 #include "net/sockets.hpp"
 #include "net/timing.hpp"
 
 namespace elmbay {
 
 using hollybeam::Outcome;
+using hollybeam::RequestId;
 using hollybeam::ServerId;
 
 // One attempt: number of a request.
@@ -40,7 +42,8 @@
     Upstream& operator=(const Upstream&) = delete;
 
     // What the list says of a server. One that may not be sent to gets no further byte of a new attempt.
-    void set_server(ServerId id, const Endpoint& endpoint, bool may_send);
+    // online_since: when its process started; a later one has none of the earlier one's connections.
+    void set_server(ServerId id, const Endpoint& endpoint, bool may_send, Millis online_since = 0);
     void forget_server(ServerId id);  // only one without attempts
     std::size_t attempts_at(ServerId id) const;
 
@@ -58,7 +61,6 @@
     struct Attempt;
 
     void assign(Server& server);
-    void connect(Server& server);
     void write(Attempt& attempt, const std::shared_ptr<Connection>& connection);
     void expired(AttemptKey key);
     void end(Attempt& attempt, Outcome outcome, HttpResponse response = {});
@@ -75,6 +77,7 @@
     const Clock& clock_;
     Limits limits_;
     Ended ended_;
+    std::array<char, 32 * 1024> scratch_{};  // what is being read, of one connection at a time
     std::map<ServerId, Server> servers_;
     std::map<AttemptKey, std::unique_ptr<Attempt>> attempts_;
 };
