Tests for bad clients and bad servers; discovery and server table bounded; the flood test's find

Found by the flood test: while all silent clients were younger than 50 ms, shed() took idle connections of clients that had asked. Nobody goes now while one that never asked is about to be old enough. Discovery: a line or list that drips without an end counts as silence, the connect has a limit of its own, the parser reads 64 KB ahead at most, a line has 1 MB; 2048 servers and 256 names of zones and kinds are kept at most.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -22,6 +22,8 @@
 // It answers from its own machine: what takes longer than this to be there is not coming. A new one counts as
 // heard 4 s after it is named, so several tries must fit in that.
 constexpr Millis kConnect = 500;
+// The parser reads ahead of itself this far at most: head, or a chunk's line.
+constexpr std::size_t kMostAhead = 64 * 1024;
 // Thousands of servers. Read as JSON it takes several times its size, of a memory of some ten MB.
 constexpr std::size_t kMostLine = 1024 * 1024;
 
@@ -39,7 +41,6 @@
             if (error) return self->end("can't be reached");
             Error ignored;
             self->socket_.set_option(tcp::no_delay(true), ignored);
-            self->expect(kSilence);
             self->ask();
         });
     }
@@ -55,6 +56,7 @@
 
 private:
     void ask() {
+        expect(kSilence);
         request_ = {};
         request_.version(11);
         request_.method(http::verb::get);
@@ -91,7 +93,6 @@
         if (closed_) return;
         if (error == http::error::need_buffer) error = {};
         if (error) return end(error == http::error::end_of_stream ? "ended" : "broke off");
-        expect(kSilence);
         if (parser_->get().result() != http::status::ok) return end("answered with another status");
         if (parser_->get().body().data) {
             const std::size_t got = piece_.size() - parser_->get().body().size;
@@ -117,6 +118,7 @@
         if (!watch_) return true;
         std::size_t from = 0;
         for (std::size_t to; (to = text_.find('\n', from)) != std::string::npos; from = to + 1) {
+            expect(kSilence);  // not for less than a line: one that drips without an end is silence too
             std::string line = text_.substr(from, to - from);
             if (!line.empty() && line.back() == '\r') line.pop_back();
             if (!line.empty() && !take(line)) return false;  // an empty one is a heartbeat
@@ -158,7 +160,7 @@
 
     Discovery& owner_;
     tcp::socket socket_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_{kMostAhead};
     http::request<http::empty_body> request_;
     std::optional<http::response_parser<http::buffer_body>> parser_;
     std::array<char, 8192> piece_{};
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -399,16 +399,23 @@
     connection->answer(std::move(response));
 }
 
-// First those that never asked, the oldest of them first, then those that have been idle longest.
+// First those that never asked, the oldest of them first, then those that have been idle longest. While one
+// that never asked is too young to be told from a client about to ask, nobody goes for it: it will soon be
+// old enough itself.
 bool Listener::shed() {
     const Millis now = clock_.now();
-    for (Connections* list : {&fresh_, &kept_})
-        for (const auto& connection : *list)
+    bool may_ask = false;
+    for (Connections* list : {&fresh_, &kept_}) {
+        for (const auto& connection : *list) {
             if (connection->expendable(now)) {
                 const auto keep = connection;
                 keep->close();
                 return true;
             }
+            if (list == &fresh_ && connection->idle() && !connection->has_unread()) may_ask = true;
+        }
+        if (may_ask) return false;
+    }
     return false;
 }
 
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -18,6 +18,8 @@
 constexpr Millis kAnswerMargin = 8;
 // Zones, or kinds of machine: a deployment has a handful of each.
 constexpr std::size_t kMostNames = 256;
+// A hundred times the fleet. A list that only ever adds must not fill the memory.
+constexpr std::size_t kMostServers = 2048;
 // Descriptors that the process needs beside those counted: standard streams, epoll, timer, signals, listener.
 constexpr std::size_t kOwnDescriptors = 24;
 
@@ -131,8 +133,10 @@
     if (kind != ListKind::incremental)
         for (auto& [uid, known] : servers_) known.listed = false;
     for (const Target& t : listing.targets) {
-        if (t.phase == Phase::off && !servers_.contains(t.uid))
-            continue;  // never known, or already forgotten
+        if (!servers_.contains(t.uid)) {
+            if (t.phase == Phase::off) continue;  // never known, or already forgotten
+            if (servers_.size() >= kMostServers) continue;
+        }
         Known& known = servers_[t.uid];
         if (known.id == 0) known.id = next_server_++;
         known.info = {known.id,
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -28,7 +28,7 @@
 
 // One end of a connection: collects what comes.
 struct Peer : std::enable_shared_from_this<Peer> {
-    explicit Peer(tcp::socket s) : socket(std::move(s)) {}
+    explicit Peer(tcp::socket s) : socket(std::move(s)) { socket.set_option(tcp::no_delay(true)); }
     void read() {
         socket.async_read_some(asio::buffer(piece),
                                [self = shared_from_this()](boost::system::error_code error, std::size_t n) {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -69,6 +69,135 @@
     EXPECT_EQ(rig.servers.front().requests(), 0U);
 }
 
+std::string api(const std::string& method, const std::string& headers, const std::string& body = "") {
+    return method + " /api HTTP/1.1\r\nHost: h\r\n" + headers + "\r\n" + body;
+}
+const std::string kSafe = "X-Service-Class: safe\r\nX-Time-Left: 50000m\r\n";
+const std::string kUnsafe = "X-Service-Class: unsafe\r\nX-Time-Left: 50000m\r\n";
+const std::string kKeyed = "X-Service-Class: keyed\r\nX-Time-Left: 50000m\r\n";
+
+// Whoever sends these is not the application that the settings describe: a guess at what is meant could run
+// something twice, and what is passed on takes a server's time from the others.
+TEST(Requests, WhatCantBeUsedIsAnsweredHereAndNeverSentOn) {
+    const std::string id = "X-Correlation-Id: 1\r\n", four = "Content-Length: 4\r\n";
+    const std::vector<std::string> cases{
+        api("GET", id + "X-Service-Class: strange\r\nX-Time-Left: 50000m\r\n"),
+        api("GET", id + "X-Time-Left: 50000m\r\n"),
+        api("GET", id + "X-Service-Class: safe\r\n"),
+        api("GET", id + "X-Service-Class: safe\r\nX-Time-Left: soon\r\n"),
+        api("GET", id + "X-Service-Class: safe\r\nX-Time-Left: -5m\r\n"),
+        api("GET", id + kSafe + "X-Time-Left: 50000m\r\n"),
+        api("GET", id + kSafe + "X-Correlation-Id: 2\r\n"),
+        api("GET", id + kSafe + "Content-Length: 4\r\n", "body"),
+        api("GET", id + kSafe + "Transfer-Encoding: chunked\r\n", "0\r\n\r\n"),
+        api("POST", id + kSafe + four, "body"),
+        api("GET", id + kUnsafe),
+        api("POST", id + kKeyed + four, "body"),
+        api("POST", id + kKeyed + "Idempotency-Key: a\r\nIdempotency-Key: b\r\n" + four, "body"),
+        api("POST", id + kUnsafe + "Idempotency-Key: a\r\n" + four, "body"),
+        api("PUT", id + kUnsafe + four, "body"),
+        api("GET", "X-Correlation-Id: " + std::string(300, 'x') + "\r\n" + kSafe)};
+    NetRig rig;
+    rig.start();
+    for (const std::string& text : cases) {
+        const auto client = rig.client();
+        client->send(text);
+        ASSERT_TRUE(rig.until([&] { return client->got.size() > 12; })) << text;
+        EXPECT_EQ(status_of(*client).substr(0, 10), "HTTP/1.1 4") << text;
+    }
+    EXPECT_EQ(rig.sidecar->requests(), 0U);
+    EXPECT_EQ(rig.servers.front().requests(), 0U);
+}
+
+// One request hides in another's body where two readers differ on where that ends. Every mixture is turned
+// away and the connection ended; none of it may reach a server.
+TEST(Requests, FramingThatContradictsItselfIsTurnedAway) {
+    const std::string hidden = "GET /api?hidden HTTP/1.1\r\nX-Correlation-Id: 2\r\n" + kSafe + "\r\n";
+    for (const std::string& framing :
+         {std::string("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"),
+          std::string("Transfer-Encoding: chunked\r\nContent-Length: 4\r\n"),
+          std::string("Content-Length: 4\r\nTransfer-Encoding: identity\r\n"),
+          std::string("Transfer-Encoding: identity\r\nContent-Length: 4\r\n"),
+          std::string("Content-Length: 4\r\nTransfer-Encoding: gzip, chunked\r\n"),
+          std::string("Transfer-Encoding: gzip, chunked\r\n"),
+          std::string("Transfer-Encoding: chunked, identity\r\n"),
+          std::string("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"),
+          std::string("Transfer-Encoding: identity\r\n"), std::string("Transfer-Encoding: xchunked\r\n"),
+          std::string("Content-Length: 4\r\nContent-Length: 4\r\n"),
+          std::string("Content-Length: 4\r\nContent-Length: 0\r\n"), std::string("Content-Length: 4, 4\r\n"),
+          std::string("Content-Length: -4\r\n"), std::string("Content-Length: +4\r\n"),
+          std::string("Content-Length: 0x4\r\n"), std::string("Content-Length: 18446744073709551620\r\n")}) {
+        NetRig rig;
+        rig.start();
+        const auto client = rig.client();
+        client->send(api("POST", "X-Correlation-Id: 1\r\n" + kUnsafe + framing, "0\r\n\r\n" + hidden));
+        ASSERT_TRUE(rig.until([&] { return client->closed; })) << framing;
+        EXPECT_EQ(status_of(*client).substr(0, 10), "HTTP/1.1 4") << framing;
+        EXPECT_EQ(client->got.find("HTTP/1.1", 1), std::string::npos) << "one answer: " << framing;
+        EXPECT_EQ(rig.servers.front().requests(), 0U) << framing;
+    }
+}
+
+// An id names one request. Somebody else's with the same one must not go out beside it, nor right after it,
+// while the first may still run at a server.
+TEST(Requests, AnIdThatIsInWorkOrJustWasIsTurnedAway) {
+    NetRig rig;
+    rig.start();
+    auto& server = rig.servers.front();
+    const auto first = rig.client(), second = rig.client();
+    const std::string request = NetRig::request("safe");
+    first->send(request);
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 1; }));
+    second->send(request);
+    ASSERT_TRUE(rig.until([&] { return second->got.size() > 12; }));
+    EXPECT_EQ(status_of(*second), "HTTP/1.1 409");
+    server.last().respond("200 OK", "answer");
+    ASSERT_TRUE(rig.until([&] { return first->got.find("answer") != std::string::npos; }));
+    const auto third = rig.client();
+    third->send(request);
+    ASSERT_TRUE(rig.until([&] { return third->got.size() > 12; }));
+    EXPECT_EQ(status_of(*third), "HTTP/1.1 409");
+    EXPECT_EQ(server.requests(), 1U);
+}
+
+// No usual client sends before its answer has begun. At once or later: none of it is served.
+TEST(Requests, PipeliningIsTurnedAway) {
+    NetRig rig;
+    rig.start();
+    auto& server = rig.servers.front();
+    const auto together = rig.client();
+    together->send(NetRig::request("safe") + NetRig::request("safe"));
+    ASSERT_TRUE(rig.until([&] { return together->closed; }));
+    EXPECT_EQ(status_of(*together), "HTTP/1.1 400");
+    EXPECT_EQ(server.requests(), 0U);
+    const auto later = rig.client();
+    later->send(NetRig::request("safe"));
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 1; }));
+    later->send(NetRig::request("safe"));
+    ASSERT_TRUE(rig.until([&] { return later->closed && server.last().closed; }));
+    EXPECT_EQ(status_of(*later), "HTTP/1.1 400");
+    EXPECT_EQ(later->got.find("HTTP/1.1", 1), std::string::npos) << "one answer";
+    EXPECT_EQ(server.requests(), 1U);
+}
+
+// What a client writes beside what the protocol names stays here.
+TEST(Requests, AreBuiltAnewForTheServer) {
+    NetRig rig;
+    rig.start();
+    auto& server = rig.servers.front();
+    const auto client = rig.client();
+    client->send(NetRig::request("keyed", "50000m",
+                                 "Cookie: obj=7\r\nX-Facts: a=1\r\nX-Strange: 1\r\nConnection: X-Other\r\n"
+                                 "X-Other: 2\r\nExpect: 100-continue\r\nX-Unprocessed: 1\r\n"));
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 1; }));
+    const std::string& got = server.last().got;
+    for (const char* kept : {"POST /api?a=b HTTP/1.1", "X-Correlation-Id: id-", "Idempotency-Key: k",
+                             "X-Service-Class: keyed", "Cookie: obj=7", "X-Facts: a=1", "Content-Length: 4"})
+        EXPECT_NE(got.find(kept), std::string::npos) << kept;
+    for (const char* dropped : {"X-Strange", "X-Other", "Expect", "X-Unprocessed", "Connection"})
+        EXPECT_EQ(got.find(dropped), std::string::npos) << dropped;
+}
+
 TEST(Requests, TimeLeftHasAUnit) {
     EXPECT_EQ(parse_time_left("480m"), 480.0);
     EXPECT_EQ(parse_time_left("1500u"), 1.5);
@@ -93,7 +222,9 @@
               "0\r\n\r\n",
               true},
           End{"nonsense\r\n\r\n", true}, End{"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", true},
-          End{nullptr, true}}) {
+          End{"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nbody", true},
+          End{"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody", true},
+          End{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true}, End{nullptr, true}}) {
         SCOPED_TRACE(end.response ? end.response : "reset");
         NetRig rig;
         rig.start();
@@ -135,6 +266,106 @@
     EXPECT_EQ(client->got.find("half"), std::string::npos);
 }
 
+// Each is spoilt, or can't be told from one that is, and shows it before the deadline: a failed attempt at
+// once, and nothing of it goes to the client.
+TEST(Attempts, SpoiltAnswersEndAtOnceAndAreNotPassedOn) {
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    for (const std::string& spoilt :
+         {std::string("\x89\x8f\x06 noise \xa2\r\n\r\n"),
+          std::string("ICY 200 OK\r\nContent-Length: 4\r\n\r\nbody"),
+          std::string("HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\nbody"),
+          ok + "no colon here\r\nContent-Length: 4\r\n\r\nbody",
+          ok + "Content-Length: -1\r\nContent-Length: 4\r\n\r\nbody",
+          ok + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody",
+          ok + "Content-Length: 2\r\nContent-Length: 4\r\n\r\nbody",
+          ok + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\nbody",
+          ok + "Transfer-Encoding: identity\r\nContent-Length: 4\r\n\r\nbody",
+          ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\nzz\r\nbody\r\n0\r\n\r\n",
+          ok + "Transfer-Encoding: chunked\r\n\r\n" + std::string(200000, '1'),
+          ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + std::string(200000, 'x'),
+          ok + "X-Pad: " + std::string(200000, 'p'), ok + "Content-Length: 3000000000\r\n\r\nbody",
+          ok + "\r\nbody without an end", ok + "Content-Length: 2\r\n\r\nbody",
+          ok + "Content-Length: 2\r\n\r\nboHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 101 Switching Protocols\r\n\r\n" + ok + "Content-Length: 4\r\n\r\nbody"}) {
+        SCOPED_TRACE(spoilt.substr(0, 120));
+        NetRig rig;
+        rig.start();
+        auto& server = rig.servers.front();
+        const auto client = rig.client();
+        client->send(NetRig::request("unsafe"));
+        ASSERT_TRUE(rig.until([&] { return server.requests() == 1; }));
+        server.last().send(spoilt);
+        ASSERT_TRUE(rig.until([&] { return client->got.size() > 12; }));
+        EXPECT_EQ(status_of(*client), "HTTP/1.1 502");
+        ASSERT_TRUE(rig.until([&] { return server.last().closed; })) << "its connection is of no further use";
+        EXPECT_EQ(client->got.find("body"), std::string::npos);
+    }
+}
+
+// 1xx ahead of an answer and a second copy behind it don't spoil it; that copy is not the next request's
+// answer.
+TEST(Attempts, GoodAnswersMayBringMoreThanTheirOwn) {
+    const auto answer = [](const std::string& body) {
+        return "HTTP/1.1 200 OK\r\nX-Backend-Load: {\"\r\nContent-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body;
+    };
+    NetRig rig;
+    rig.start();
+    auto& server = rig.servers.front();
+    const auto client = rig.client();
+    const auto ask = [&](const std::string& with, const std::string& expected) {
+        client->got.clear();
+        const std::size_t before = server.requests();
+        client->send(NetRig::request("unsafe"));
+        ASSERT_TRUE(rig.until([&] { return server.requests() == before + 1; }));
+        server.last().send(with);
+        ASSERT_TRUE(rig.until([&] { return client->got.find("\r\n\r\n" + expected) != std::string::npos; }));
+        EXPECT_EQ(status_of(*client), "HTTP/1.1 200");
+    };
+    ask("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + answer("first"),
+        "first");
+    EXPECT_EQ(server.peers.size(), 1U);
+    ask(answer("second") + answer("second"), "second");
+    ask(answer("third"), "third");
+    EXPECT_EQ(server.peers.size(), 2U) << "a connection with bytes left over takes no request";
+    std::string ahead;
+    for (int i = 0; i < 20; ++i) ahead += "HTTP/1.1 102 Processing\r\n\r\n";
+    client->got.clear();
+    client->send(NetRig::request("unsafe"));
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 4; }));
+    server.last().send(ahead + answer("fourth"));
+    ASSERT_TRUE(rig.until([&] { return client->got.size() > 12; }));
+    EXPECT_EQ(status_of(*client), "HTTP/1.1 502") << "a server has a few to say, not twenty";
+}
+
+// Bytes that come while a connection is idle, also if the loop has not seen them when the next request comes,
+// must not be taken for that one's answer.
+TEST(Attempts, WhatComesOnAnIdleConnectionAnswersNobody) {
+    NetRig rig;
+    rig.start();
+    auto& server = rig.servers.front();
+    for (const bool seen : {true, false}) {
+        const std::size_t before = server.requests();
+        const auto client = rig.client();
+        client->send(NetRig::request("unsafe"));
+        ASSERT_TRUE(rig.until([&] { return server.requests() == before + 1; }));
+        server.last().respond("200 OK", "mine");
+        ASSERT_TRUE(rig.until([&] { return client->got.find("mine") != std::string::npos; }));
+        client->got.clear();
+        // Unseen: the request comes to the loop first, with the copy behind it in the same turn.
+        if (!seen) client->send(NetRig::request("unsafe"));
+        server.last().respond("200 OK", "a late copy");
+        if (seen) {
+            rig.settle();
+            client->send(NetRig::request("unsafe"));
+        }
+        ASSERT_TRUE(rig.until([&] { return server.requests() == before + 2; }));
+        server.last().respond("200 OK", "the next");
+        ASSERT_TRUE(rig.until([&] { return client->got.find("the next") != std::string::npos; }));
+        EXPECT_EQ(client->got.find("a late copy"), std::string::npos);
+    }
+}
+
 // A pooled connection that the server has closed must not get a request: it
 // would be a reset, and an unsafe request would fail for nothing.
 TEST(Attempts, AStalePooledConnectionIsNotUsed) {
@@ -203,6 +434,56 @@
     ASSERT_TRUE(rig.until([&] { return server.last().closed && rig.sidecar->requests() == 0; }));
 }
 
+// Silent or slow, from the connection on: an error while the client may still be waiting, and the socket is
+// free again.
+TEST(Clients, WhoNeverAsksOrNeverEndsIsToldSo) {
+    NetRig rig;
+    rig.start();
+    const auto silent = rig.client(), slow = rig.client(), half = rig.client();
+    slow->send("GET /api HTTP/1.1\r\nHost: h\r\nX-Slow: ");
+    half->send(api("POST", "X-Correlation-Id: 1\r\n" + kUnsafe + "Content-Length: 400\r\n", "half"));
+    for (const auto& client : {silent, slow, half}) {
+        ASSERT_TRUE(rig.until([&] { return client->closed; }));
+        EXPECT_EQ(status_of(*client), "HTTP/1.1 408");
+    }
+    EXPECT_EQ(rig.servers.front().requests(), 0U);
+}
+
+// Some ask once and keep their connection for good: it must not stay open for good here.
+TEST(Clients, IdleConnectionsGoAfterAWhile) {
+    NetRig rig;
+    rig.start();
+    auto& server = rig.servers.front();
+    const auto client = rig.client();
+    client->send(NetRig::request("safe"));
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 1; }));
+    server.last().respond("200 OK", "answer");
+    ASSERT_TRUE(rig.until([&] { return client->closed; }));
+    EXPECT_NE(client->got.find("answer"), std::string::npos);
+    EXPECT_EQ(client->got.find("HTTP/1.1", 1), std::string::npos)
+        << "closed between requests, without a word";
+}
+
+// A refused body is not taken whole: the client reads its answer, or the connection ends.
+TEST(Clients, RefusedBodiesAreNotTaken) {
+    NetRig rig;
+    rig.start();
+    const auto client = rig.client();
+    client->send(api("POST", "X-Correlation-Id: 1\r\n" + kUnsafe + "Content-Length: 60000000\r\n"));
+    ASSERT_TRUE(rig.until([&] { return client->got.size() > 12; }));
+    EXPECT_EQ(status_of(*client), "HTTP/1.1 413");
+    const auto text = std::make_shared<const std::string>(60000000, 'x');
+    bool ended = false;
+    std::size_t sent = 0;
+    asio::async_write(client->socket, asio::buffer(*text),
+                      [&ended, &sent, text](boost::system::error_code error, std::size_t n) {
+                          ended = bool(error);
+                          sent = n;
+                      });
+    ASSERT_TRUE(rig.until([&] { return ended; }));
+    EXPECT_LT(sent, 30000000U);
+}
+
 // Told that the server is leaving while the attempt waits for its connection:
 // it must not go out any more.
 TEST(Drains, NothingNewGoesToAServerThatIsLeaving) {
@@ -291,6 +572,31 @@
     ASSERT_TRUE(rig.until([&] { return rig.servers.front().requests() == 1; })) << "the list is in force";
 }
 
+// The list tells of a new server at an address before it tells that the old one there has gone. What went to
+// the old one's name would reach the new one, which is cold: it gets what a cold one may have.
+TEST(Discovery, ANewServerAtAnOldAddressTakesItOver) {
+    NetRig rig;
+    rig.config["settings"]["rules"] = {
+        {"cold-from", 0.2}, {"warm-within-ms", 600000.0}, {"fall-multiple", 2.5}};
+    rig.start();
+    auto& server = rig.servers.front();
+    const auto client = rig.client();
+    client->send(NetRig::request("safe"));
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 1; }));
+    server.last().respond("200 OK", "answer");
+    ASSERT_TRUE(rig.until([&] { return client->got.find("answer") != std::string::npos; }));
+    rig.watch_begins();
+    Json fresh = NetRig::target(1, server.address());
+    fresh["boot_ms"] = std::floor(Clock().now());
+    rig.chunk(rig.line(Json::array({fresh}), false));
+    ASSERT_TRUE(rig.until([&] { return server.last().closed; })) << "the old one's connections are of no use";
+    client->got.clear();
+    client->send(NetRig::request("safe", "1000m"));
+    ASSERT_TRUE(rig.until([&] { return client->got.size() > 12; }));
+    EXPECT_EQ(status_of(*client), "HTTP/1.1 503") << "one just started takes next to nothing";
+    EXPECT_EQ(server.requests(), 1U);
+}
+
 TEST(Discovery, AServerThatMovesIsReachedAtItsNewAddress) {
     NetRig rig(1);
     rig.start();
@@ -433,6 +739,31 @@
     EXPECT_GT(server.requests(), 4U);
 }
 
+// A flood of clients that say nothing takes neither the warm connections to servers nor the place of those
+// that ask.
+TEST(Limits, SilentClientsGoFirstAndServersKeepTheirSockets) {
+    NetRig rig;
+    rig.config["limits"]["sockets"] = 24 + 24;
+    rig.start();
+    auto& server = rig.servers.front();
+    const auto kept = rig.client();
+    const auto ask = [&](const std::shared_ptr<Peer>& client) {
+        client->got.clear();
+        const std::size_t before = server.requests();
+        client->send(NetRig::request("unsafe"));
+        ASSERT_TRUE(rig.until([&] { return server.requests() == before + 1; }));
+        server.last().respond("200 OK", "answer");
+        ASSERT_TRUE(rig.until([&] { return client->got.find("answer") != std::string::npos; }));
+    };
+    ask(kept);
+    std::vector<std::shared_ptr<Peer>> silent;
+    for (int i = 0; i < 100; ++i) silent.push_back(rig.client());
+    ask(rig.client());
+    ask(kept);
+    EXPECT_FALSE(kept->closed);
+    EXPECT_EQ(server.peers.size(), 1U) << "the warm connection serves them all";
+}
+
 // Servers close what has been idle for long; a request that crosses that would
 // be a reset.
 TEST(Limits, IdleConnectionsToServersAreRetiredBeforeTheServerWould) {
