A crowd that only asks GET /up no longer keeps the others out

A trace and the kernel's tables: 845 connections in one sidecar's accept queue, 211 open, most of which had asked GET /up once and stayed; CPU 0.07 s a second, so not that. Lines: take() counted GET /up as having asked, and shed() stopped altogether while any silent client was under 50 ms old. Now GET /up is no request, idle connections of 2 s go as readily, and young ones hold the shedding up only if they outnumber the idle ones.

--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -32,6 +32,7 @@
 // With no socket left for a new client those go that never asked: if nothing has come for this long, if not a
 // whole request for that long.
 constexpr Millis kNeverAsked = 50, kHalfAsked = 500;
+constexpr Millis kUnused = 2000;  // a connection that was asked on, and not for so long, goes as readily
 // The parser reads ahead of itself this far at most: a chunk's line or a trailer without end stops here.
 constexpr std::size_t kMostAhead = 2 * kMostHeader;
 // An id is taken once within twice this time: a repeat of one just finished may still run at a server.
@@ -125,7 +126,7 @@
             late_ = true;
             Error ignored;
             socket_.cancel(ignored);
-        } else if (state_ == State::idle && !asked_) {
+        } else if (state_ == State::idle && !answered_) {
             turn_away(kTooSlow, true);
         } else {
             close();
@@ -171,7 +172,7 @@
     void read() {
         state_ = State::reading;
         late_ = false;
-        if (asked_) limit(kStalled);  // else its time runs from when it came
+        if (answered_) limit(kStalled);  // else its time runs from when it came
         buffer_.emplace(kMostAhead);
         parser_.emplace();
         parser_->body_limit(kMostBody);
@@ -238,7 +239,6 @@
         parser_.reset();
         buffer_.reset();
         if (problem_) return turn_away(*problem_, false);
-        if (!std::exchange(asked_, true)) owner_.kept_.splice(owner_.kept_.end(), owner_.fresh_, place);
         if (path_of(request) == "/up") {
             if (owner_.handlers_.ready() && !owner_.draining_)
                 write(plain(http::status::ok, "up\n"));
@@ -246,6 +246,8 @@
                 write(plain(http::status::service_unavailable, "not ready\n"));
             return;
         }
+        // GET /up is no request: who asks no more than that is not the application at work.
+        if (!std::exchange(asked_, true)) owner_.kept_.splice(owner_.kept_.end(), owner_.fresh_, place);
         // The same id again may be somebody else's open request: two of it must not be out together.
         if (!owner_.remember(field(request, "X-Correlation-Id")))
             return turn_away({http::status::conflict, "X-Correlation-Id has been used\n"}, false);
@@ -293,6 +295,7 @@
     }
 
     void rest() {
+        answered_ = true;
         since_ = owner_.clock_.now();
         owner_.rested(*this);
         limit(kIdle);
@@ -331,7 +334,8 @@
     std::optional<Problem> problem_;  // of the request being read
     RequestId id_ = 0;                // of the request in work
     State state_ = State::idle;
-    bool asked_ = false;
+    bool asked_ = false;        // a request has come from it, whatever became of that
+    bool answered_ = false;     // it has been told something and goes on
     bool waiting_ = false;      // to be readable
     bool last_ = false;         // the next answer is the connection's last
     bool late_ = false;         // the time for the request being read is over
@@ -399,24 +403,29 @@
     connection->answer(std::move(response));
 }
 
-// First those that never asked, the oldest of them first, then those that have been idle longest. While one
-// that never asked is too young to be told from a client about to ask, nobody goes for it: it will soon be
-// old enough itself.
+// First those that never asked, the oldest of them first, then those that have been idle longest. A flood of
+// new ones, all too young to be told from clients about to ask, does not push out the few that have asked: it
+// waits until it is old enough itself.
 bool Listener::shed() {
     const Millis now = clock_.now();
-    bool may_ask = false;
-    for (Connections* list : {&fresh_, &kept_}) {
-        for (const auto& connection : *list) {
-            if (connection->expendable(now)) {
-                const auto keep = connection;
-                keep->close();
-                return true;
-            }
-            if (list == &fresh_ && connection->idle() && !connection->has_unread()) may_ask = true;
-        }
-        if (may_ask) return false;
+    std::size_t young = 0, resting = 0;
+    for (const auto& connection : fresh_) {
+        if (connection->expendable(now)) return close_one(connection);
+        if (connection->idle() && !connection->has_unread()) ++young;
     }
-    return false;
+    std::shared_ptr<Connection> oldest;
+    for (const auto& connection : kept_)
+        if (connection->expendable(now)) {
+            if (!connection->idle() || now - connection->since() > kUnused) return close_one(connection);
+            if (!oldest) oldest = connection;
+            if (++resting > young) break;
+        }
+    return oldest && resting > young && close_one(oldest);
+}
+
+bool Listener::close_one(std::shared_ptr<Connection> connection) {
+    connection->close();
+    return true;
 }
 
 void Listener::rested(Connection& connection) {
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -53,6 +53,7 @@
     void accept_waiting();
     void admit(asio::ip::tcp::socket socket);
     bool shed();
+    static bool close_one(std::shared_ptr<Connection> connection);
     void close_idle();
     void rested(Connection& connection);
     void remove(Connection& connection);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -764,6 +764,29 @@
     EXPECT_EQ(server.peers.size(), 1U) << "the warm connection serves them all";
 }
 
+// A crowd that asks for GET /up, or nothing, and stays, must not keep those that ask waiting to be accepted:
+// their time runs in the kernel's queue too. (It was once let in at some twenty a second.)
+TEST(Limits, ACrowdThatStaysDoesNotHoldUpThoseThatAsk) {
+    NetRig rig;
+    rig.config["limits"]["sockets"] = 24 + 48;
+    rig.start();
+    auto& server = rig.servers.front();
+    std::vector<std::shared_ptr<Peer>> clients;
+    std::size_t asked = 0;
+    for (int i = 0; i < 400; ++i) {
+        clients.push_back(rig.client());
+        if (i % 10 == 9) {
+            clients.back()->send(NetRig::request("safe"));
+            ASSERT_TRUE(rig.until([&] { return server.requests() == asked + 1; })) << i;
+            ++asked;
+            server.last().respond("200 OK", "answer");
+            ASSERT_TRUE(rig.until([&] { return clients.back()->got.find("answer") != std::string::npos; }));
+        } else if (i % 3 > 0) {
+            clients.back()->send("GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+        }
+    }
+}
+
 // Servers close what has been idle for long; a request that crosses that would
 // be a reset.
 TEST(Limits, IdleConnectionsToServersAreRetiredBeforeTheServerWould) {
