--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 // The real sidecar: reads what it is told, puts the parts together, waits for signals.
+#include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -31,9 +32,7 @@
     });
 }
 
-}  // namespace
-
-int main() {
+int serve() {
     try {
         boost::asio::io_context io(1);
         // Before all else: without a handler SIGHUP ends the process. One that comes too early for us waits
@@ -58,3 +57,23 @@
         return 2;
     }
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app{
+        "The sidecar of voices-archive: takes the application's requests, balances them over the archive\n"
+        "servers that discovery names. Runs in the foreground until SIGTERM; SIGHUP re-reads the file."};
+    app.set_version_flag("--version", "elmbay " ELMBAY_VERSION);
+    app.footer(
+        "What it is told comes by the environment:\n"
+        "  RELAY_CONFIG     the configuration, a JSON file (README has a small one)\n"
+        "  RELAY_NAME, RELAY_LISTEN, RELAY_DISCOVERY  in place of name, listen and discovery there\n"
+        "Exit: 0 ended as told, 2 wrong use or a configuration that can't be used.");
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& error) {
+        return app.exit(error) == 0 ? 0 : 2;
+    }
+    return serve();
+}
--- /dev/null
+++ b/src/rehearsal/archive.cpp
@@ -0,0 +1,71 @@
+#include "rehearsal/archive.hpp"
+
+#include "rehearsal/chance.hpp"
+
+namespace elmbay::rehearsal {
+
+Archive::Archive(const Incident& incident, const Callers& callers)
+    : incident_(incident),
+      callers_(callers),
+      fails_(incident.fleet.servers, 0),
+      fallen_(incident.fleet.servers, false) {
+    for (std::uint32_t i = 0; i < incident.fleet.servers; ++i) {
+        Random random = stream(incident.overview.seed, Purpose::server_speed, i);
+        const double spread = incident.fleet.speed_spread;
+        servers_.emplace_back(incident.fleet, uniform(random, 1 - spread, 1 + spread),
+                              !incident.starts_off(i));
+    }
+}
+
+Ticket Archive::arrive(Millis now, std::uint32_t server, TryId id, ServerModel::Out& out) {
+    const RequestNumber request = request_of(id);
+    const ClassSpec& c = incident_.classes[callers_.ask(request).class_index];
+    Random random = stream(incident_.overview.seed, Purpose::fast_failure, id, server);
+    const bool fails = random.unit() < incident_.fleet.error_rate + fails_[server];
+    Millis work = callers_.attempt_work(request, server);
+    if (c.kind() == hollybeam::Effect::by_key && !fails && servers_[server].running()) {
+        const auto [at, fresh] = keys_.try_emplace(request, now);
+        if (!fresh && now < at->second + c.window)
+            work = kDroppedRepeat;
+        else
+            at->second = now;
+    }
+    servers_[server].arrive(now, ++last_, work, fails, out);
+    return last_;
+}
+
+void Archive::apply(const Step& step, ServerModel::Out& out) {
+    ServerModel& server = servers_[step.who];
+    switch (step.change) {
+        case Change::freeze:
+            server.freeze(step.at, step.at + step.value, out);
+            break;
+        case Change::neighbour:
+            server.set_neighbour(step.at, step.value, out);
+            break;
+        case Change::fail_fast:
+            fails_[step.who] = step.value;
+            break;
+        case Change::hollow:
+            server.set_hollow(step.at, step.value > 0, out);
+            break;
+        case Change::stop:
+            server.stop(step.at, out);
+            break;
+        case Change::vanish:
+            server.vanish(step.at, out);
+            break;
+        case Change::start:
+            if (!fallen_[step.who]) server.start(step.at, out);
+            break;
+        default:
+            break;  // a drain changes nothing at the server; the rest is about sidecars
+    }
+}
+
+void Archive::fell(Millis now, std::uint32_t server, ServerModel::Out& out) {
+    fallen_[server] = true;
+    servers_[server].stop(now, out);
+}
+
+}  // namespace elmbay::rehearsal
--- /dev/null
+++ b/src/rehearsal/archive.hpp
@@ -0,0 +1,44 @@
+// The archive: all servers of an incident with their faults, and what they remember of keys. No I/O, no
+// clock.
+#pragma once
+
+#include <unordered_map>
+#include <vector>
+
+#include "rehearsal/callers.hpp"
+#include "rehearsal/server_model.hpp"
+#include "rehearsal/timeline.hpp"
+
+namespace elmbay::rehearsal {
+
+class Archive {
+public:
+    explicit Archive(const Incident& incident, const Callers& callers);
+
+    // A try's attempt has come whole to a server. Returns its ticket; its end is among some call's
+    // departures, unless the machine vanishes.
+    Ticket arrive(Millis now, std::uint32_t server, TryId id, ServerModel::Out& out);
+    // Carries out a step that is about a server.
+    void apply(const Step& step, ServerModel::Out& out);
+    // A cold server sent too much: it goes down and stays down.
+    void fell(Millis now, std::uint32_t server, ServerModel::Out& out);
+
+    ServerModel& server(std::uint32_t number) { return servers_[number]; }
+    const ServerModel& server(std::uint32_t number) const { return servers_[number]; }
+    std::uint32_t count() const { return static_cast<std::uint32_t>(servers_.size()); }
+    // Whether the list named it at the start.
+    bool there_at_start(std::uint32_t server) const { return !incident_.starts_off(server); }
+    // What a repeat costs that is dropped by its key.
+    static constexpr Millis kDroppedRepeat = 0.5;
+
+private:
+    const Incident& incident_;
+    const Callers& callers_;
+    std::vector<ServerModel> servers_;
+    std::vector<double> fails_;  // by server, the share that a fault makes it fail
+    std::vector<bool> fallen_;
+    std::unordered_map<RequestNumber, Millis> keys_;  // when a keyed request first came to any server
+    Ticket last_ = 0;
+};
+
+}  // namespace elmbay::rehearsal
--- /dev/null
+++ b/src/rehearsal/balancers.cpp
@@ -0,0 +1,233 @@
+#include "rehearsal/balancers.hpp"
+
+#include <algorithm>
+#include <map>
+#include <stdexcept>
+#include <unordered_map>
+
+#include "random.hpp"
+
+namespace elmbay::rehearsal {
+
+namespace {
+
+using namespace hollybeam;
+
+class Module : public Decider {
+public:
+    Module(const Settings& settings, std::uint64_t seed) : balancer_(settings, seed) {}
+    void handle(Millis now, const Event& event, std::vector<Action>& actions) override {
+        balancer_.handle(now, event, actions);
+    }
+
+private:
+    Balancer balancer_;
+};
+
+struct Flaws {
+    bool storm = false;         // random servers, short patience, and again at once as often as it may
+    bool twice = false;         // a second attempt beside the first
+    bool resend = false;        // unsafe requests too are sent again after an error
+    bool deaf = false;          // goes on sending to servers that drain or are gone
+    bool flood = false;         // favours the server that started last
+    bool hold = false;          // keeps failures until the caller's time is nearly over
+    bool never_remove = false;  // believes in every server for ever
+};
+
+constexpr int kFailuresToRemove = 5;
+constexpr Millis kRemovedFor = 5000;
+constexpr Millis kStormPatience = 120;
+constexpr Millis kHeldUntil = 20;  // before the caller's time is over
+
+// Least outstanding of two, out after five failures in a row, nothing to cold servers, one more attempt where
+// the class allows it.
+class Plain : public Decider {
+public:
+    Plain(const Settings& settings, std::uint64_t seed, Flaws flaws)
+        : settings_(settings), random_(seed), flaws_(flaws) {}
+
+    void handle(Millis now, const Event& event, std::vector<Action>& actions) override {
+        now_ = now;
+        actions_ = &actions;
+        std::visit([this](const auto& e) { on(e); }, event);
+    }
+
+private:
+    struct Server {
+        ServerInfo info;
+        int outstanding = 0, failures = 0;
+        Millis out_until = 0;
+    };
+    struct Try {
+        ServerId server = 0;
+        bool out = true, may_have_run = true;
+    };
+    struct Request {
+        RequestId id = 0;
+        RequestClass kind;
+        Millis deadline = 0;
+        std::vector<Try> tries;
+        bool any_out() const {
+            return std::any_of(tries.begin(), tries.end(), [](const Try& t) { return t.out; });
+        }
+        bool may_have_run() const {
+            return std::any_of(tries.begin(), tries.end(), [](const Try& t) { return t.may_have_run; });
+        }
+    };
+
+    void on(const Started&) {}
+    void on(const FirstByte&) {}
+    void on(const ServerList& list) {
+        if (list.kind == ListKind::full || list.kind == ListKind::saved)
+            for (auto& [id, s] : servers_) s.info.phase = Phase::off;
+        for (const ServerInfo& info : list.servers) {
+            Server& s = servers_[info.id];
+            // The deaf one hears of servers that come, and of none that go.
+            if (flaws_.deaf && info.phase != Phase::on && s.info.id != 0) continue;
+            if (info.online_since > s.info.online_since) s.failures = 0, s.out_until = 0;
+            s.info = info;
+        }
+    }
+    void on(const RequestArrived& e) {
+        Request& r = requests_[e.id];
+        r.id = e.id;
+        r.deadline = now_ + e.time_left;
+        if (e.class_index < settings_.classes.size()) r.kind = settings_.classes[e.class_index];
+        timer(r.deadline, r.id);
+        send(r);
+        if (flaws_.twice && r.kind.effect == Effect::repeatable) send(r);
+    }
+    void on(const AttemptEnded& e) {
+        const auto at = requests_.find(e.id);
+        if (at == requests_.end() || e.attempt >= at->second.tries.size()) return;
+        Request& r = at->second;
+        Try& t = r.tries[e.attempt];
+        t.out = false;
+        t.may_have_run = e.outcome != Outcome::saturated && e.outcome != Outcome::refused_connection &&
+                         e.outcome != Outcome::superseded;
+        Server& s = servers_[t.server];
+        --s.outstanding;
+        if (e.outcome == Outcome::completed)
+            s.failures = 0;
+        else if (e.outcome != Outcome::recalled && ++s.failures >= kFailuresToRemove && !flaws_.never_remove)
+            s.failures = 0, s.out_until = now_ + kRemovedFor;
+        if (e.request_ended) {
+            cancel(r);
+            requests_.erase(at);
+        } else if (!r.any_out() && !sends_again(r)) {
+            give_up(r);
+        }
+    }
+    void on(const ClientGone& e) {
+        if (const auto at = requests_.find(e.id); at != requests_.end()) {
+            cancel(at->second);
+            requests_.erase(at);
+        }
+    }
+    void on(const TimerFired& e) {
+        const auto at = requests_.find(timers_[e.token]);
+        timers_.erase(e.token);
+        if (at == requests_.end()) return;
+        if (now_ >= at->second.deadline - kHeldUntil) finish(at->second);
+    }
+
+    bool sends_again(Request& r) {
+        const std::size_t most = flaws_.storm ? settings_.max_attempts : 2;
+        if (r.tries.size() >= most || now_ >= r.deadline - kHeldUntil) return false;
+        if (r.may_have_run() && r.kind.effect == Effect::once && !flaws_.resend) return false;
+        if (r.may_have_run() && r.kind.effect == Effect::by_key && r.deadline - now_ > r.kind.dedup_window)
+            return false;
+        return send(r);
+    }
+    bool send(Request& r) {
+        std::vector<Server*> open;
+        for (auto& [id, s] : servers_)
+            if (usable(s)) open.push_back(&s);
+        if (open.empty()) {
+            if (r.tries.empty()) give_up(r);
+            return false;
+        }
+        Server* s = open[random_.below(open.size())];
+        Server* other = open[random_.below(open.size())];
+        if (!flaws_.storm && other->outstanding < s->outstanding) s = other;
+        if (flaws_.flood)
+            for (Server* candidate : open)
+                if (candidate->info.online_since > s->info.online_since) s = candidate;
+        r.tries.push_back({s->info.id});
+        ++s->outstanding;
+        act(Send{r.id, s->info.id, flaws_.storm ? std::min(r.deadline, now_ + kStormPatience) : r.deadline});
+        return true;
+    }
+    bool usable(const Server& s) const {
+        if (s.info.phase != Phase::on || now_ < s.out_until) return false;
+        const bool cold = s.info.online_since > 0 && now_ < s.info.online_since + settings_.warm_within;
+        return flaws_.flood || !cold;
+    }
+    void give_up(Request& r) {
+        if (!flaws_.hold) return finish(r);
+        timer(std::max(now_, r.deadline - kHeldUntil), r.id);
+    }
+    void finish(Request& r) {
+        cancel(r);
+        if (!r.may_have_run())
+            act(Refuse{r.id, 0});
+        else
+            act(GiveUp{r.id});
+        requests_.erase(r.id);
+    }
+    void cancel(const Request& r) {
+        for (std::uint32_t i = 0; i < r.tries.size(); ++i)
+            if (r.tries[i].out) act(Cancel{r.id, i});
+    }
+    void timer(Millis at, RequestId id) {
+        timers_[++token_] = id;
+        act(SetTimer{at, token_});
+    }
+    void act(Action action) { actions_->push_back(std::move(action)); }
+
+    const Settings settings_;
+    Random random_;
+    const Flaws flaws_;
+    Millis now_ = 0;
+    std::vector<Action>* actions_ = nullptr;
+    std::map<ServerId, Server> servers_;
+    std::unordered_map<RequestId, Request> requests_;
+    std::unordered_map<TimerToken, RequestId> timers_;
+    TimerToken token_ = 0;
+};
+
+}  // namespace
+
+const std::vector<BalancerName>& balancer_names() {
+    static const std::vector<BalancerName> names{
+        {"elmbay", "elmbay's own decision module", ""},
+        {"plain", "sound and simple: least outstanding of two, one more attempt where it may", ""},
+        {"random-storm", "any server, all believed in, little patience, and again at once as often as it may",
+         "attempts a try, goodput"},
+        {"twice-at-once", "a second attempt beside the first", "nothing takes effect twice"},
+        {"resend-unsafe", "sends unsafe requests again after an error", "nothing takes effect twice"},
+        {"deaf-to-drains", "goes on sending to servers that drain or are gone", "drains kept"},
+        {"flood-cold", "favours the server that started last", "no cold server pushed over"},
+        {"hold-answers", "sits on failures until the caller's time is nearly over", "held_back"},
+        {"never-remove", "believes in every server for ever", "goodput"}};
+    return names;
+}
+
+std::unique_ptr<Decider> make_balancer(const std::string& name, const Settings& settings,
+                                       std::uint64_t seed) {
+    if (name == "elmbay") return std::make_unique<Module>(settings, seed);
+    Flaws flaws;
+    flaws.storm = name == "random-storm";
+    flaws.twice = name == "twice-at-once";
+    flaws.resend = name == "resend-unsafe";
+    flaws.deaf = name == "deaf-to-drains";
+    flaws.flood = name == "flood-cold";
+    flaws.hold = name == "hold-answers";
+    flaws.never_remove = flaws.storm || name == "never-remove";
+    const bool known = std::any_of(balancer_names().begin(), balancer_names().end(),
+                                   [&](const BalancerName& b) { return b.name == name; });
+    if (!known) throw std::invalid_argument("'" + name + "' is not a balancer");
+    return std::make_unique<Plain>(settings, seed, flaws);
+}
+
+}  // namespace elmbay::rehearsal
--- /dev/null
+++ b/src/rehearsal/incident.cpp
@@ -0,0 +1,443 @@
+#include "rehearsal/incident.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <map>
+#include <set>
+
+#include "rehearsal/chance.hpp"
+
+namespace elmbay::rehearsal {
+
+namespace {
+
+using schema::Key;
+using schema::Problems;
+using schema::Unit;
+
+// Bounds of what one machine can play; a file beyond them is refused, not tried.
+constexpr double kMostServers = 2000, kMostSidecars = 20000, kMostRate = 1e6, kLongest = 3600000;
+constexpr std::size_t kMostFaults = 1000, kMostClasses = 32;
+
+const std::vector<Key<Overview>> kOverview{
+    {"about", Unit::word, &Overview::about, "\"\"", "what is rehearsed, in a sentence"},
+    {"length", Unit::duration, &Overview::length, "\"30s\"", "from the first request to the last", 1000,
+     kLongest},
+    {"seed", Unit::count, &Overview::seed, "1", "all chance comes from it", 0, 9e15}};
+
+const std::vector<Key<FleetSpec>> kFleet{
+    {"servers", Unit::count, &FleetSpec::servers, "12", "archive servers, named s-0, s-1 ...", 1,
+     kMostServers},
+    {"halls", Unit::words, &FleetSpec::halls, "hall-a to hall-c", "servers and sidecars take turns in them"},
+    {"cores", Unit::count, &FleetSpec::cores, "4", "of each server", 1, 1024},
+    {"speed_spread", Unit::share, &FleetSpec::speed_spread, "10%", "machines differ by this either way", 0,
+     0.9},
+    {"slots", Unit::count, &FleetSpec::slots, "16", "requests in work at once, sharing the cores", 1, 100000},
+    {"queue", Unit::count, &FleetSpec::queue, "80", "waiting room; beyond it requests are turned away", 0,
+     1000000},
+    {"thrash", Unit::share, &FleetSpec::thrash, "3%",
+     "efficiency lost for each request held per core beyond thrash_from", 0, 1},
+    {"thrash_from", Unit::number, &FleetSpec::thrash_from, "6", "requests held per core that cost nothing", 0,
+     10000},
+    {"cold_from", Unit::share, &FleetSpec::cold_from, "20%", "capacity of a server that has just started",
+     0.01, 1},
+    {"warm_within", Unit::duration, &FleetSpec::warm_within, "\"15s\"", "until it has all of its capacity", 0,
+     kLongest},
+    {"warm_by", Unit::word, &FleetSpec::warm_by, "\"time\"", "what warms a server", 0, 0, {"time", "work"}},
+    {"warm_work", Unit::duration, &FleetSpec::warm_work, "\"20s\"",
+     "by work: core time that makes it warm before warm_within", 1, kLongest},
+    {"drops_waiting", Unit::flag, &FleetSpec::drops_waiting, "true",
+     "what waits is dropped when its sidecar stops waiting; work that runs goes on"},
+    {"connections", Unit::count, &FleetSpec::connections, "800", "open connections that a server takes", 1,
+     1000000},
+    {"handshake_work", Unit::duration, &FleetSpec::handshake_work, "\"1ms\"", "work of a new connection", 0,
+     1000},
+    {"connection_tax", Unit::share, &FleetSpec::connection_tax, "25%",
+     "capacity that a full connection table takes", 0, 0.95},
+    {"connect_timeout", Unit::duration, &FleetSpec::connect_timeout, "\"150ms\"",
+     "a connection not up by then has failed", 1, 60000},
+    {"idle_close", Unit::duration, &FleetSpec::idle_close, "\"15s\"", "an idle connection is closed after it",
+     100, kLongest},
+    {"same_hall", Unit::duration, &FleetSpec::same_hall, "\"0.2ms\"", "one way within a hall", 0, 10000},
+    {"cross_hall", Unit::duration, &FleetSpec::cross_hall, "\"0.6ms\"", "one way between halls", 0, 10000},
+    {"latency_jitter", Unit::share, &FleetSpec::latency_jitter, "20%", "of both, up or down", 0, 1},
+    {"error_rate", Unit::share, &FleetSpec::error_rate, "0.05%", "requests that fail without any fault", 0,
+     1}};
+
+const std::vector<Key<RegistrySpec>> kRegistry{
+    {"notice_least", Unit::duration, &RegistrySpec::notice_least, "\"0.8s\"",
+     "from an event to its being told, at least", 0, 600000},
+    {"notice_most", Unit::duration, &RegistrySpec::notice_most, "\"3s\"", "and at most", 0, 600000},
+    {"spread", Unit::duration, &RegistrySpec::spread, "\"100ms\"", "between one sidecar and another", 0,
+     60000}};
+
+const std::vector<Key<CallersSpec>> kCallers{
+    {"rate", Unit::number, &CallersSpec::rate, "300", "requests a second, through all sidecars together",
+     0.001, kMostRate},
+    {"shape",
+     Unit::word,
+     &CallersSpec::shape,
+     "\"steady\"",
+     "of the arrivals, which wait for no answer",
+     0,
+     0,
+     {"steady", "bursty", "ramp", "wave"}},
+    {"swing", Unit::share, &CallersSpec::swing, "30%", "bursty, wave: how far the rate leaves its mean", 0,
+     1},
+    {"ramp_to", Unit::number, &CallersSpec::ramp_to, "1", "ramp: multiple of the rate at the end", 0, 1000},
+    {"period", Unit::duration, &CallersSpec::period, "\"8s\"", "of a wave; mean length of a burst or lull",
+     100, kLongest},
+    {"skew", Unit::share, &CallersSpec::skew, "50%", "0: sidecars alike; towards 1 few carry most", 0, 0.99},
+    {"retries", Unit::count, &CallersSpec::retries, "3", "of a caller, after the first try", 0, 10},
+    {"try_share", Unit::share, &CallersSpec::try_share, "45%",
+     "of its class's give-up time after which a try is given up", 0.05, 1},
+    {"backoff", Unit::duration, &CallersSpec::backoff, "\"50ms\"", "before a caller's retry", 0, 60000},
+    {"honour", Unit::share, &CallersSpec::honour, "40%", "callers that keep to Retry-After", 0, 1},
+    {"impatient", Unit::share, &CallersSpec::impatient, "0.5%", "callers that leave before a try is over", 0,
+     1}};
+
+const std::vector<Key<SidecarsSpec>> kSidecars{
+    {"count", Unit::count, &SidecarsSpec::count, "4", "each beside one copy of the application", 1,
+     kMostSidecars},
+    {"sockets", Unit::count, &SidecarsSpec::sockets, "1024", "descriptors that one may hold", 64, 1000000},
+    {"max_attempts", Unit::count, &SidecarsSpec::max_attempts, "4", "for one request, the first included", 1,
+     10}};
+
+const std::vector<Key<RulesSpec>> kRules{
+    {"drain_grace", Unit::duration, &RulesSpec::drain_grace, "\"500ms\"",
+     "after it nothing new goes to a server that drains", 0, 60000},
+    {"fall_multiple", Unit::number, &RulesSpec::fall_multiple, "2.5",
+     "a cold server sent more than this multiple of what it can do falls over", 1, 100},
+    {"fall_span", Unit::duration, &RulesSpec::fall_span, "\"1s\"", "and this is the time looked at", 100,
+     60000}};
+
+const std::vector<Key<ClassSpec>> kClass{
+    {"name", Unit::word, &ClassSpec::name, "", "as in X-Service-Class", 0, 0, {}, true},
+    {"share", Unit::share, &ClassSpec::share, "1", "of the requests, against the other classes", 0, 1000},
+    {"effect",
+     Unit::word,
+     &ClassSpec::effect,
+     "\"safe\"",
+     "safe to repeat, keyed (repeats are dropped), or unsafe to repeat",
+     0,
+     0,
+     {"safe", "keyed", "unsafe"}},
+    {"work", Unit::duration, &ClassSpec::work, "\"80ms\"", "mean core time of a request", 0.01, 60000},
+    {"law",
+     Unit::word,
+     &ClassSpec::law,
+     "\"lognormal\"",
+     "of the work",
+     0,
+     0,
+     {"fixed", "exponential", "lognormal"}},
+    {"cv", Unit::number, &ClassSpec::cv, "0.5", "lognormal: its coefficient of variation", 0, 10},
+    {"attempt_noise", Unit::share, &ClassSpec::attempt_noise, "20%", "attempts of one request differ by this",
+     0, 2},
+    {"aim", Unit::duration, &ClassSpec::aim, "\"400ms\"", "an answer after it is worth nothing", 1, 600000},
+    {"give_up", Unit::duration, &ClassSpec::give_up, "\"1.5s\"", "all tries of a caller together", 1, 600000},
+    {"worth", Unit::number, &ClassSpec::worth, "3", "of a unit of its work", 0, 1e6},
+    {"window", Unit::duration, &ClassSpec::window, "\"3s\"", "keyed: servers drop repeats for so long", 0,
+     600000}};
+
+const std::vector<Key<ExpectSpec>> kExpect{
+    {"goodput", Unit::share, &ExpectSpec::goodput, "0", "worth answered in time over worth asked, at least",
+     0, 1},
+    {"worst_class", Unit::share, &ExpectSpec::worst_class, "0", "the same of the worst class", 0, 1},
+    {"worst_second", Unit::share, &ExpectSpec::worst_second, "0", "the same of the worst second", 0, 1},
+    {"attempts", Unit::number, &ExpectSpec::attempts, "any", "attempts for each try of a caller, at most", 0,
+     100},
+    {"answered", Unit::share, &ExpectSpec::answered, "0", "requests that got their answer at all, at least",
+     0, 1},
+    {"held_back", Unit::share, &ExpectSpec::held_back, "100%",
+     "tries whose refusal or failure was sat on while nothing was out, at most", 0, 1},
+    {"p99", Unit::duration, &ExpectSpec::p99, "any", "of the worst class, at most", 1, 600000}};
+
+const std::map<std::string, FaultKind> kKinds{{"die", FaultKind::die},
+                                              {"vanish", FaultKind::vanish},
+                                              {"freeze", FaultKind::freeze},
+                                              {"fail-fast", FaultKind::fail_fast},
+                                              {"neighbour", FaultKind::neighbour},
+                                              {"hollow", FaultKind::hollow},
+                                              {"drain", FaultKind::drain},
+                                              {"join", FaultKind::join},
+                                              {"list-late", FaultKind::list_late},
+                                              {"load", FaultKind::load},
+                                              {"sidecar-kill", FaultKind::sidecar_kill},
+                                              {"sidecar-restart", FaultKind::sidecar_restart},
+                                              {"sidecar-reload", FaultKind::sidecar_reload}};
+
+std::vector<std::string> kind_names() {
+    std::vector<std::string> names;
+    for (const auto& [name, kind] : kKinds) names.push_back(name);
+    return names;
+}
+
+const std::vector<Key<FaultSpec>> kFault{
+    {"kind", Unit::word, &FaultSpec::kind_name, "", "what goes wrong", 0, 0, kind_names(), true},
+    {"name", Unit::word, &FaultSpec::name, "the kind", "for logs and plots"},
+    {"at", Unit::duration, &FaultSpec::at, "", "when it begins", 0, kLongest, {}, true},
+    {"lasts", Unit::duration, &FaultSpec::lasts, "to the end", "for how long; a dead server is back then", 1,
+     kLongest},
+    {"who", Unit::words, &FaultSpec::who, "\"10%\"",
+     "names (s-3; n-1 of a sidecar), a share (\"25%\"), a hall, or \"all\""},
+    {"pause", Unit::duration, &FaultSpec::pause, "\"150ms\"", "freeze: how long it stands still", 1, 60000},
+    {"every", Unit::duration, &FaultSpec::every, "\"2s\"", "freeze, neighbour: how often it comes on", 10,
+     600000},
+    {"share", Unit::share, &FaultSpec::share, "50%", "fail-fast: of the requests; neighbour: of the machine",
+     0, 0.99},
+    {"delay", Unit::duration, &FaultSpec::delay, "\"5s\"", "list-late: further behind by this", 1, 600000},
+    {"linger", Unit::duration, &FaultSpec::linger, "\"3s\"", "drain: from the drain to its end", 1, 600000},
+    {"apart", Unit::duration, &FaultSpec::apart, "\"0s\"", "from one of the servers hit to the next", 0,
+     600000},
+    {"times", Unit::number, &FaultSpec::times, "4", "load: multiple of the rate", 0, 100}};
+
+bool ends_the_process(FaultKind kind) {
+    return kind == FaultKind::die || kind == FaultKind::vanish || kind == FaultKind::drain;
+}
+bool hits_sidecars(FaultKind kind) {
+    return kind == FaultKind::sidecar_kill || kind == FaultKind::sidecar_restart ||
+           kind == FaultKind::sidecar_reload;
+}
+bool hits_nobody(FaultKind kind) { return kind == FaultKind::list_late || kind == FaultKind::load; }
+
+std::optional<std::uint32_t> numbered(const std::string& name, const char* prefix, std::uint64_t count) {
+    if (!name.starts_with(prefix)) return {};
+    std::uint32_t number = 0;
+    const auto [end, wrong] = std::from_chars(name.data() + 2, name.data() + name.size(), number);
+    if (wrong != std::errc() || end != name.data() + name.size() || number >= count) return {};
+    return number;
+}
+
+// Shares are rounded up, so that a small share of a small fleet still hits somebody, and drawn by the seed.
+void select(FaultSpec& fault, std::size_t nth, const Incident& incident, Problems& problems) {
+    if (hits_nobody(fault.kind)) return;
+    const bool sidecars = hits_sidecars(fault.kind);
+    const auto count =
+        static_cast<std::uint32_t>(sidecars ? incident.sidecars.count : incident.fleet.servers);
+    std::set<std::uint32_t> hit;
+    const std::string key = "fault " + std::to_string(nth + 1) + ".who";
+    for (const std::string& who : fault.who) {
+        const double share = who.ends_with('%') ? schema::parse_share(who).value_or(0) : 0;
+        const auto hall = std::find(incident.fleet.halls.begin(), incident.fleet.halls.end(), who);
+        if (const auto number = numbered(who, sidecars ? "n-" : "s-", count)) {
+            hit.insert(*number);
+        } else if (who == "all") {
+            for (std::uint32_t i = 0; i < count; ++i) hit.insert(i);
+        } else if (share > 0 && share <= 1) {
+            Random random = stream(incident.overview.seed, Purpose::selection, nth);
+            std::vector<std::uint32_t> all(count);
+            for (std::uint32_t i = 0; i < count; ++i) all[i] = i;
+            const auto part = static_cast<std::size_t>(std::ceil(share * count - 1e-9));
+            for (std::size_t i = 0; i < part; ++i) {
+                std::swap(all[i], all[i + random.below(all.size() - i)]);
+                hit.insert(all[i]);
+            }
+        } else if (hall != incident.fleet.halls.end() && !sidecars) {
+            for (std::uint32_t i = 0; i < count; ++i)
+                if (incident.fleet.halls[incident.hall_of(i)] == who) hit.insert(i);
+        } else {
+            problems.push_back({fault.line, key,
+                                "'" + who + "' names nobody; there are " +
+                                    (sidecars ? "n-0 to n-" : "s-0 to s-") + std::to_string(count - 1) +
+                                    ", a share such as \"25%\", \"all\"" +
+                                    (sidecars ? "" : ", and the halls")});
+        }
+    }
+    fault.hit.assign(hit.begin(), hit.end());
+}
+
+Millis end_of(const FaultSpec& fault, std::size_t nth, const Incident& incident) {
+    return fault.lasts > 0 ? fault.begins(nth) + fault.lasts : std::max(incident.overview.length, fault.at);
+}
+
+struct Span {
+    Millis from, to;
+    const FaultSpec* fault;
+};
+
+// What can't be: two ends of one server at a time, an end of one that has not started, the same fault twice
+// at once on one server (which of the two figures would hold?). Different faults may overlap as they like.
+void check_overlaps(const Incident& incident, Problems& problems) {
+    std::map<std::pair<std::uint32_t, std::string>, std::vector<Span>> spans;
+    std::map<std::uint32_t, const FaultSpec*> joins;
+    for (const FaultSpec& f : incident.faults)
+        if (f.kind == FaultKind::join)
+            for (const std::uint32_t s : f.hit)
+                if (!joins.emplace(s, &f).second)
+                    problems.push_back({f.line, "fault.who", "s-" + std::to_string(s) + " joins twice"});
+    for (const FaultSpec& f : incident.faults) {
+        if (f.kind == FaultKind::join) continue;
+        const std::string group = ends_the_process(f.kind) ? "end"
+                                  : hits_sidecars(f.kind)  ? "sidecar"
+                                                           : f.kind_name;
+        for (std::size_t i = 0; i < std::max<std::size_t>(1, f.hit.size()); ++i) {
+            const std::uint32_t who = f.hit.empty() ? 0 : f.hit[i];
+            const Span span{f.begins(i),
+                            f.kind == FaultKind::drain && f.lasts > 0 ? end_of(f, i, incident) + f.linger
+                                                                      : end_of(f, i, incident),
+                            &f};
+            const std::string name = hits_nobody(f.kind) ? "it" : "s-" + std::to_string(who);
+            if (ends_the_process(f.kind) && joins.contains(who) && joins.at(who)->begins(0) >= span.from)
+                problems.push_back({f.line, "fault.at", name + " has not joined by then"});
+            for (const Span& other : spans[{who, group}])
+                if (span.from < other.to && other.from < span.to)
+                    problems.push_back(
+                        {f.line, "fault.at",
+                         (group == "end"       ? name + " can't end twice"
+                          : group == "sidecar" ? "n-" + std::to_string(who) + " is hit twice"
+                                               : "two of '" + f.kind_name + "' overlap on " + name) +
+                             ": line " + std::to_string(other.fault->line) + " has it from " +
+                             std::to_string(static_cast<long>(other.from)) + "ms to " +
+                             std::to_string(static_cast<long>(other.to)) + "ms"});
+            spans[{who, group}].push_back(span);
+        }
+    }
+}
+
+template <class T>
+void section(const toml::table& file, const char* name, const std::vector<Key<T>>& keys, T& into,
+             Problems& problems) {
+    const toml::node* node = file.get(name);
+    if (!node) return;
+    if (const toml::table* table = node->as_table())
+        schema::read_table(*table, name, keys, into, problems);
+    else
+        problems.push_back({node->source().begin.line, name, std::string("is a table: [") + name + "]"});
+}
+
+template <class T, class Use>
+void sections(const toml::table& file, const char* name, std::size_t most, const std::vector<Key<T>>& keys,
+              Problems& problems, Use use) {
+    const toml::node* node = file.get(name);
+    if (!node) return;
+    const toml::array* list = node->as_array();
+    if (!list || (!list->empty() && !list->is_array_of_tables()) || list->size() > most) {
+        problems.push_back(
+            {node->source().begin.line, name,
+             std::string("is a list of tables: [[") + name + "]], at most " + std::to_string(most)});
+        return;
+    }
+    for (std::size_t i = 0; i < list->size(); ++i) {
+        T item;
+        const toml::table& table = *list->get(i)->as_table();
+        schema::read_table(table, name + (" " + std::to_string(i + 1)), keys, item, problems);
+        use(std::move(item), table.source().begin.line);
+    }
+}
+
+void check_whole(Incident& incident, Problems& problems) {
+    if (incident.classes.empty()) {
+        // Midlands Voices' own, so that the shortest file is of use.
+        ClassSpec listen{"listen", 0.52, "safe", 95}, deposit{"deposit", 0.34, "unsafe", 60},
+            annotate{"annotate", 0.14, "keyed", 110};
+        deposit.aim = 300, deposit.give_up = 1200, deposit.worth = 5;
+        annotate.aim = 500;
+        incident.classes = {listen, deposit, annotate};
+    }
+    std::set<std::string> names;
+    for (const ClassSpec& c : incident.classes) {
+        if (!names.insert(c.name).second) problems.push_back({0, "class." + c.name, "is there twice"});
+        if (c.give_up < c.aim) problems.push_back({0, "class." + c.name + ".give_up", "is before its aim"});
+    }
+    double shares = 0;
+    for (const ClassSpec& c : incident.classes) shares += c.share;
+    if (shares <= 0) problems.push_back({0, "class.share", "adds up to nothing"});
+    if (incident.registry.notice_most < incident.registry.notice_least)
+        problems.push_back({0, "registry.notice_most", "is less than notice_least"});
+    if (incident.callers.rate * incident.overview.length / 1000 > 2e7)
+        problems.push_back({0, "callers.rate", "gives more than 20 million requests in all"});
+    for (std::size_t i = 0; i < incident.faults.size(); ++i) {
+        FaultSpec& f = incident.faults[i];
+        const auto kind = kKinds.find(f.kind_name);
+        if (kind == kKinds.end()) return;  // told by the schema
+        f.kind = kind->second;
+        if (f.name.empty()) f.name = f.kind_name;
+        if (f.at >= incident.overview.length)
+            problems.push_back({f.line, "fault " + std::to_string(i + 1) + ".at", "is after the end"});
+        if (f.kind == FaultKind::freeze && f.pause >= f.every)
+            problems.push_back(
+                {f.line, "fault " + std::to_string(i + 1) + ".pause", "must be shorter than 'every'"});
+        if (hits_sidecars(f.kind) && f.lasts == 0) f.lasts = 1000;
+        select(f, i, incident, problems);
+    }
+    if (problems.empty()) check_overlaps(incident, problems);
+    std::size_t off = 0;
+    for (std::uint32_t s = 0; s < incident.fleet.servers; ++s) off += incident.starts_off(s);
+    if (problems.empty() && off == incident.fleet.servers)
+        problems.push_back({0, "fault.who", "no server is there at the start"});
+}
+
+}  // namespace
+
+hollybeam::Effect ClassSpec::kind() const {
+    if (effect == "safe") return hollybeam::Effect::repeatable;
+    return effect == "keyed" ? hollybeam::Effect::by_key : hollybeam::Effect::once;
+}
+
+bool Incident::starts_off(std::uint32_t server) const {
+    return std::any_of(faults.begin(), faults.end(), [&](const FaultSpec& f) {
+        return f.kind == FaultKind::join && std::find(f.hit.begin(), f.hit.end(), server) != f.hit.end();
+    });
+}
+
+hollybeam::Settings Incident::settings(std::uint32_t sidecar) const {
+    hollybeam::Settings s;
+    for (const ClassSpec& c : classes) {
+        hollybeam::RequestClass rc;
+        rc.effect = c.kind();
+        rc.dedup_scope = hollybeam::DedupScope::all;
+        rc.dedup_window = c.window;
+        rc.aim = c.aim;
+        rc.worth = c.worth;
+        s.classes.push_back(rc);
+    }
+    s.my_zone = sidecar % static_cast<std::uint32_t>(fleet.halls.size());
+    s.siblings = static_cast<std::uint32_t>(sidecars.count);
+    s.max_attempts = static_cast<std::uint32_t>(sidecars.max_attempts);
+    s.may_cancel = true;
+    s.cold_from = fleet.cold_from;
+    s.warm_within = fleet.warm_within;
+    s.fall_multiple = rules.fall_multiple;
+    s.fees.cross_zone = 0.02;
+    return s;
+}
+
+Incident parse_incident(const std::string& text, const std::string& file, std::optional<std::uint64_t> seed) {
+    Problems problems;
+    Incident incident;
+    try {
+        const toml::table table = toml::parse(text, file);
+        schema::read_table(table, "", kOverview, incident.overview, problems,
+                           {"fleet", "registry", "callers", "sidecars", "rules", "class", "fault", "expect"});
+        if (seed) incident.overview.seed = *seed;
+        section(table, "fleet", kFleet, incident.fleet, problems);
+        section(table, "registry", kRegistry, incident.registry, problems);
+        section(table, "callers", kCallers, incident.callers, problems);
+        section(table, "sidecars", kSidecars, incident.sidecars, problems);
+        section(table, "rules", kRules, incident.rules, problems);
+        section(table, "expect", kExpect, incident.expect, problems);
+        sections(table, "class", kMostClasses, kClass, problems,
+                 [&](ClassSpec c, std::uint32_t) { incident.classes.push_back(std::move(c)); });
+        sections(table, "fault", kMostFaults, kFault, problems, [&](FaultSpec f, std::uint32_t line) {
+            f.line = line;
+            incident.faults.push_back(std::move(f));
+        });
+    } catch (const toml::parse_error& error) {
+        problems.push_back({error.source().begin.line, "", std::string(error.description())});
+    }
+    if (problems.empty()) check_whole(incident, problems);
+    if (!problems.empty()) throw IncidentError(schema::text_of(file, problems));
+    return incident;
+}
+
+std::string incident_manual() {
+    return "At the top:\n" + schema::manual(kOverview) + "\n[fleet]\n" + schema::manual(kFleet) +
+           "\n[registry]\n" + schema::manual(kRegistry) + "\n[callers]\n" + schema::manual(kCallers) +
+           "\n[sidecars]\n" + schema::manual(kSidecars) + "\n[rules]\n" + schema::manual(kRules) +
+           "\n[[class]]\n" + schema::manual(kClass) + "\n[[fault]]\n" + schema::manual(kFault) +
+           "\n[expect]\n" + schema::manual(kExpect);
+}
+
+}  // namespace elmbay::rehearsal
--- /dev/null
+++ b/src/rehearsal/incident.hpp
@@ -0,0 +1,168 @@
+// An incident: the archive, its callers, the sidecars between them, and what goes wrong when. One TOML file.
+//
+// parse_incident() checks the file as a whole before anything starts: every problem is named with line, key
+// and what is allowed, also what only shows when faults are laid over each other (a server that dies twice).
+// Times are milliseconds from the start of the rehearsal; work is milliseconds of one core at usual speed.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "hollybeam/balancer.hpp"
+#include "schema/schema.hpp"
+
+namespace elmbay::rehearsal {
+
+using hollybeam::Millis;
+
+struct Overview {
+    std::string about;
+    Millis length = 30000;
+    std::uint64_t seed = 1;
+};
+
+struct FleetSpec {
+    std::uint64_t servers = 12;
+    std::vector<std::string> halls{"hall-a", "hall-b", "hall-c"};
+    std::uint64_t cores = 4;
+    double speed_spread = 0.1;  // machines differ by so much either way
+    std::uint64_t slots = 16;   // requests in work
+    std::uint64_t queue = 80;   // the waiting room
+    double thrash = 0.03;       // efficiency lost for each request held per core beyond thrash_from
+    double thrash_from = 6;
+    double cold_from = 0.2;  // share of its capacity with which a started server begins
+    Millis warm_within = 15000;
+    std::string warm_by = "time";  // or "work"
+    Millis warm_work = 20000;      // by work: so much makes it warm, if warm_within does not before
+    bool drops_waiting = true;  // what waits is dropped when its sidecar stops waiting; running work goes on
+    std::uint64_t connections = 800;
+    Millis handshake_work = 1;
+    double connection_tax = 0.25;  // of its capacity that a full connection table takes
+    Millis connect_timeout = 150;
+    Millis idle_close = 15000;
+    Millis same_hall = 0.2, cross_hall = 0.6, latency_jitter = 0.2;  // one way; the jitter is a share
+    double error_rate = 0.0005;
+};
+
+struct RegistrySpec {
+    Millis notice_least = 800, notice_most = 3000;  // from an event to its being told
+    Millis spread = 100;                            // between sidecars
+};
+
+struct CallersSpec {
+    double rate = 300;  // requests a second, all sidecars together
+    std::string shape = "steady";
+    double swing = 0.3;    // of bursty and wave, how far from the mean
+    double ramp_to = 1;    // of ramp: the multiple of the rate at the end
+    Millis period = 8000;  // of wave; the mean length of a burst or lull
+    double skew = 0.5;     // 0: all sidecars alike; towards 1 few carry most
+    std::uint64_t retries = 3;
+    double try_share = 0.45;  // a try is given up after this share of its class's give-up time
+    Millis backoff = 50;
+    double honour = 0.4;       // the share of callers that keep to Retry-After
+    double impatient = 0.005;  // the share that leaves before its try is over
+};
+
+struct SidecarsSpec {
+    std::uint64_t count = 4;
+    std::uint64_t sockets = 1024;
+    std::uint64_t max_attempts = 4;
+};
+
+struct RulesSpec {
+    Millis drain_grace = 500;
+    double fall_multiple = 2.5;
+    Millis fall_span = 1000;
+};
+
+struct ClassSpec {
+    std::string name;
+    double share = 1;
+    std::string effect = "safe";  // safe, keyed, unsafe
+    Millis work = 80;
+    std::string law = "lognormal";  // fixed, exponential
+    double cv = 0.5;
+    double attempt_noise = 0.2;
+    Millis aim = 400, give_up = 1500;
+    double worth = 3;
+    Millis window = 3000;  // keyed: repeats are dropped for so long
+
+    hollybeam::Effect kind() const;
+};
+
+// What the operators expect of the run; what is left out is not looked at. The four rules always are.
+struct ExpectSpec {
+    double goodput = 0;       // worth answered within its aim over worth asked for, at least
+    double worst_class = 0;   // the same of the worst class
+    double worst_second = 0;  // and of the worst second in which enough was asked
+    double attempts = 1e9;    // attempts a try, at most
+    double answered = 0;      // share of requests that got any 200, at least
+    double held_back = 1;     // share of tries answered without a server long after nothing was out
+    Millis p99 = 1e9;         // of the worst class
+};
+
+enum class FaultKind {
+    die,        // the process ends: connections are reset; it comes back cold
+    vanish,     // the machine says nothing more: connections stay open and silent; back cold
+    freeze,     // stands still for `pause` every `every`
+    fail_fast,  // answers `share` of its requests with 500 at once
+    neighbour,  // another program takes `share` of the machine, on and off
+    hollow,     // accepts connections and requests and answers none
+    drain,      // is told to drain, finishes, and is gone after `linger`; back cold after `lasts`
+    join,       // a server that was off until now starts cold
+    list_late,  // the list falls `delay` further behind
+    load,       // callers ask `times` as often
+    sidecar_kill,
+    sidecar_restart,  // SIGTERM, then started again
+    sidecar_reload    // discovery moves and SIGHUP says so
+};
+
+struct FaultSpec {
+    std::uint32_t line = 0;
+    std::string kind_name;
+    FaultKind kind = FaultKind::die;
+    std::string name;  // for logs and plots; the kind if left out
+    Millis at = 0, lasts = 0;
+    std::vector<std::string> who{"10%"};  // names, "30%", a hall, "all"
+    Millis pause = 150, every = 2000;
+    double share = 0.5;
+    Millis delay = 5000, linger = 3000, apart = 0;  // apart: between one server's drain and the next one's
+    double times = 4;
+
+    std::vector<std::uint32_t> hit;  // numbers of servers or sidecars, in order; filled by the check
+    Millis begins(std::size_t nth) const { return at + apart * static_cast<double>(nth); }
+};
+
+struct Incident {
+    std::string name;
+    Overview overview;
+    FleetSpec fleet;
+    RegistrySpec registry;
+    CallersSpec callers;
+    SidecarsSpec sidecars;
+    RulesSpec rules;
+    ExpectSpec expect;
+    std::vector<ClassSpec> classes;
+    std::vector<FaultSpec> faults;
+
+    std::uint32_t hall_of(std::uint32_t server) const {
+        return server % static_cast<std::uint32_t>(fleet.halls.size());
+    }
+    bool starts_off(std::uint32_t server) const;  // it joins later
+    // The settings that a decision module gets for this incident.
+    hollybeam::Settings settings(std::uint32_t sidecar) const;
+};
+
+// A file that can't be used; what() has a line for each problem.
+struct IncidentError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// Throws IncidentError. file is the name for its messages. seed: in place of the file's, if given.
+Incident parse_incident(const std::string& text, const std::string& file,
+                        std::optional<std::uint64_t> seed = {});
+// Every key of an incident file with its unit, default and range.
+std::string incident_manual();
+
+}  // namespace elmbay::rehearsal
--- /dev/null
+++ b/src/rehearsal/judge.cpp
@@ -0,0 +1,223 @@
+#include "rehearsal/judge.hpp"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace elmbay::rehearsal {
+
+namespace {
+
+// A little slack for chance on the rule about cold servers: so many requests of the heaviest class.
+constexpr double kChanceRequests = 3;
+
+}  // namespace
+
+const char* name_of(Rule rule) {
+    switch (rule) {
+        case Rule::one_outcome:
+            return "one final outcome";
+        case Rule::nothing_twice:
+            return "nothing takes effect twice";
+        case Rule::drains_kept:
+            return "drains kept";
+        case Rule::cold_spared:
+            return "no cold server pushed over";
+    }
+    return "";
+}
+
+Judge::Judge(const Incident& incident, const Callers& callers, Millis slack)
+    : incident_(incident), callers_(callers), slack_(slack), pushes_(incident.fleet.servers) {}
+
+const Judge::Attempt* Judge::Record::first_possible_run() const {
+    for (const Attempt& a : attempts)
+        if (a.may_have_run) return &a;
+    return nullptr;
+}
+
+const ClassSpec& Judge::class_of(TryId id) const {
+    return incident_.classes[callers_.ask(request_of(id)).class_index];
+}
+
+void Judge::broken(Rule rule, Millis now, TryId id, const std::string& what) {
+    Finding& f = findings_[static_cast<std::size_t>(rule)];
+    ++f.count;
+    if (f.examples.size() >= kExamples) return;
+    char text[64];
+    std::snprintf(text, sizeof text, "%.3fs request %llu try %llu: ", now / 1000,
+                  static_cast<unsigned long long>(request_of(id)),
+                  static_cast<unsigned long long>(id % kMostTries));
+    f.examples.push_back(text + what);
+}
+
+bool Judge::kept() const {
+    return std::all_of(findings_.begin(), findings_.end(), [](const Finding& f) { return f.count == 0; });
+}
+
+// ---- callers
+// ------------------------------------------------------------------------------------------------
+
+void Judge::asked(Millis now, const Try& t) {
+    Record& r = tries_[t.id];
+    r.last_over = now;
+    r.deadline = now + t.time_left;
+    r.sidecar = callers_.ask(request_of(t.id)).sidecar;
+}
+
+void Judge::answered(Millis now, TryId id, Answer answer, bool genuine) {
+    const auto at = tries_.find(id);
+    if (at == tries_.end()) return;
+    Record& r = at->second;
+    if (!r.open) {
+        if (!r.excused) broken(Rule::one_outcome, now, id, "a second final answer");
+        return;
+    }
+    r.open = false;
+    r.ended = now;
+    if (answer == Answer::none) {
+        if (!r.excused) broken(Rule::one_outcome, now, id, "no final answer before the caller gave up");
+        return;
+    }
+    if (now > r.deadline + slack_) broken(Rule::one_outcome, now, id, "answered after the caller gave up");
+    const ClassSpec& c = class_of(id);
+    const Attempt* ran = r.first_possible_run();
+    if (answer == Answer::served && (!genuine || !ran))
+        broken(Rule::one_outcome, now, id, "served with what no server made for it");
+    if (answer == Answer::refused && ran && c.kind() != hollybeam::Effect::repeatable &&
+        (c.kind() == hollybeam::Effect::once || now >= ran->sent + c.window + slack_))
+        broken(Rule::nothing_twice, now, id, "refused ('try again') after it may have run");
+    const bool out =
+        std::any_of(r.attempts.begin(), r.attempts.end(), [](const Attempt& a) { return a.out; });
+    if (answer != Answer::served && !out && now - r.last_over > c.aim * kPromptShare + slack_) ++held_back_;
+}
+
+void Judge::left(Millis, TryId id) {
+    const auto at = tries_.find(id);
+    if (at == tries_.end()) return;
+    at->second.open = false;
+    at->second.excused = true;
+}
+
+void Judge::excuse(TryId id) {
+    if (const auto at = tries_.find(id); at != tries_.end()) at->second.excused = true;
+}
+
+void Judge::sidecar_died(std::uint32_t sidecar) {
+    for (auto& [id, r] : tries_) {
+        if (r.sidecar != sidecar) continue;
+        if (r.open) r.excused = true;
+        for (Attempt& a : r.attempts) a.out = false;
+    }
+    std::erase_if(suspects_, [&](const Suspect& s) { return tries_.at(s.id).sidecar == sidecar; });
+    // Its next life is told anew.
+    std::erase_if(told_, [&](const auto& entry) { return entry.first.first == sidecar; });
+}
+
+// ---- the registry
+// -------------------------------------------------------------------------------------------
+
+void Judge::told(Millis now, std::uint32_t sidecar, std::uint32_t server, hollybeam::Phase phase,
+                 Millis online_since) {
+    Told& t = told_[{sidecar, server}];
+    if (t.phase == hollybeam::Phase::on || phase == hollybeam::Phase::on)
+        t.at = now;  // the first word counts
+    t.phase = phase;
+    t.online_since = std::max(t.online_since, online_since);
+}
+
+// ---- servers
+// ------------------------------------------------------------------------------------------------
+
+void Judge::check_twice(Millis now, TryId id, const Record& r, std::uint32_t server) {
+    const ClassSpec& c = class_of(id);
+    if (const Attempt* ran = r.first_possible_run()) {
+        if (c.kind() == hollybeam::Effect::once)
+            broken(Rule::nothing_twice, now, id,
+                   "unsafe, sent to s-" + std::to_string(server) + " after s-" + std::to_string(ran->server) +
+                       " may have run it");
+        if (c.kind() == hollybeam::Effect::by_key && now >= ran->sent + c.window + slack_)
+            broken(Rule::nothing_twice, now, id, "keyed, sent again after servers forgot the key");
+    }
+    if (r.attempts.size() >= incident_.sidecars.max_attempts)
+        broken(Rule::nothing_twice, now, id, "more attempts than are allowed");
+}
+
+std::uint32_t Judge::sent(Millis now, TryId id, std::uint32_t server, std::uint32_t sidecar) {
+    const auto at = tries_.find(id);
+    if (at == tries_.end()) {
+        broken(Rule::one_outcome, now, id, "sent to a server, and no caller asked for it");
+        return 0;
+    }
+    Record& r = at->second;
+    ++attempts_;
+    check_twice(now, id, r, server);
+    if (!r.open && !r.excused && now > r.ended + slack_)
+        broken(Rule::one_outcome, now, id, "sent to a server after its final answer");
+    for (std::uint32_t i = 0; i < r.attempts.size(); ++i)
+        if (r.attempts[i].out) suspects_.push_back({id, i, now});
+    if (const auto t = told_.find({sidecar, server});
+        t != told_.end() && t->second.phase != hollybeam::Phase::on &&
+        now > t->second.at + incident_.rules.drain_grace + slack_)
+        broken(Rule::drains_kept, now, id,
+               "sent to s-" + std::to_string(server) + ", " +
+                   std::to_string(static_cast<long>(now - t->second.at)) + "ms after n-" +
+                   std::to_string(sidecar) + " was told that it drains or is gone");
+    r.attempts.push_back({server, now});
+    most_attempts_ = std::max<std::uint64_t>(most_attempts_, r.attempts.size());
+    return static_cast<std::uint32_t>(r.attempts.size() - 1);
+}
+
+bool Judge::reached(Millis now, TryId id, std::uint32_t attempt, Reached what, const ServerLoad& load) {
+    const auto at = tries_.find(id);
+    if (at == tries_.end() || attempt >= at->second.attempts.size()) return false;
+    Record& r = at->second;
+    Attempt& a = r.attempts[attempt];
+    if (what != Reached::accepted) a.may_have_run = false;
+    if (what == Reached::never || !load.cold) return false;
+    const auto told = told_.find({r.sidecar, a.server});
+    auto& pushes = pushes_[a.server];
+    pushes.push_back({now, load.work, told != told_.end() && told->second.online_since >= load.started});
+    while (pushes.front().at <= now - incident_.rules.fall_span || pushes.front().at < load.started)
+        pushes.pop_front();
+    double work = 0, knowing = 0, heaviest = 0;
+    for (const Push& p : pushes) work += p.work, knowing += p.told ? p.work : 0;
+    for (const ClassSpec& c : incident_.classes) heaviest = std::max(heaviest, c.work);
+    const double bound = incident_.rules.fall_multiple * load.capacity * incident_.rules.fall_span +
+                         kChanceRequests * heaviest;
+    if (work <= bound) return false;
+    ++fallen_;
+    if (knowing * 3 >= work * 2)  // by those who had been told of its start; others could not know
+        broken(Rule::cold_spared, now, id,
+               "s-" + std::to_string(a.server) + " fell over, " +
+                   std::to_string(static_cast<long>(now - load.started)) + "ms after its start: sent " +
+                   std::to_string(static_cast<long>(work)) + "ms of work, could take " +
+                   std::to_string(static_cast<long>(bound)) + "ms");
+    pushes.clear();
+    return true;
+}
+
+void Judge::over(Millis now, TryId id, std::uint32_t attempt) {
+    const auto at = tries_.find(id);
+    if (at == tries_.end() || attempt >= at->second.attempts.size()) return;
+    Record& r = at->second;
+    if (!r.attempts[attempt].out) return;
+    r.attempts[attempt].out = false;
+    r.last_over = now;
+    std::erase_if(suspects_, [&](const Suspect& s) {
+        if (s.id != id || s.attempt != attempt) return false;
+        if (now > s.since + slack_) broken(Rule::nothing_twice, s.since, id, "two attempts out at once");
+        return true;
+    });
+}
+
+void Judge::finish(Millis now) {
+    for (const Suspect& s : suspects_) broken(Rule::nothing_twice, s.since, s.id, "two attempts out at once");
+    suspects_.clear();
+    std::vector<TryId> lost;
+    for (const auto& [id, r] : tries_)
+        if (r.open && !r.excused) lost.push_back(id);
+    std::sort(lost.begin(), lost.end());
+    for (const TryId id : lost) broken(Rule::one_outcome, now, id, "never answered");
+}
+
+}  // namespace elmbay::rehearsal
--- /dev/null
+++ b/src/rehearsal/judge.hpp
@@ -0,0 +1,121 @@
+// The four rules, judged from what servers, callers and the registry saw, never from what a sidecar says.
+//
+// Both drivers report here. The virtual one knows when a sidecar sends and gives up; the real one sees it
+// when the bytes come or the connection ends, and so grants `slack` (PROTOCOL: each limit is 50 ms longer on
+// sockets).
+#pragma once
+
+#include <array>
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "rehearsal/callers.hpp"
+
+namespace elmbay::rehearsal {
+
+enum class Rule { one_outcome, nothing_twice, drains_kept, cold_spared };
+constexpr std::size_t kRules = 4;
+const char* name_of(Rule rule);
+
+// A server as an attempt reaches it, and what the attempt brings.
+struct ServerLoad {
+    Millis work = 0;
+    double capacity = 0;  // ms of work a ms
+    Millis started = 0;
+    bool cold = false;
+};
+
+class Judge {
+public:
+    static constexpr std::size_t kExamples = 5;  // kept of each rule; beyond that only the count
+    // A refusal or failure later than this share of the aim after the last attempt ended (or the request
+    // came) was sat on: the module may hold a request for a sixteenth of its aim.
+    static constexpr double kPromptShare = 0.25;
+
+    Judge(const Incident& incident, const Callers& callers, Millis slack);
+
+    // ---- callers
+    void asked(Millis now, const Try& t);
+    // Callers see an answer's last byte. genuine: a served answer's body was made for this try.
+    void answered(Millis now, TryId id, Answer answer, bool genuine = true);
+    void left(Millis now, TryId id);
+    // The try is excused: its sidecar was killed, or ended as it was told to with nothing sent on for it.
+    void excuse(TryId id);
+    void sidecar_died(std::uint32_t sidecar);
+
+    // ---- the registry: bytes on their way to a sidecar count as told
+    void told(Millis now, std::uint32_t sidecar, std::uint32_t server, hollybeam::Phase phase,
+              Millis online_since);
+
+    // ---- servers
+    enum class Reached { accepted, turned_away, never };
+    // An attempt goes out. Returns its number within the try.
+    std::uint32_t sent(Millis now, TryId id, std::uint32_t server, std::uint32_t sidecar);
+    // What became of it at the server, whose figures at this time are given. True: that was too much for a
+    // cold server, it falls over.
+    bool reached(Millis now, TryId id, std::uint32_t attempt, Reached what, const ServerLoad& load = {});
+    // It is no longer out: answered, reset, or its sidecar ended it.
+    void over(Millis now, TryId id, std::uint32_t attempt);
+
+    // After the last event. What is open now is lost.
+    void finish(Millis now);
+
+    // ---- the verdict
+    struct Finding {
+        std::uint64_t count = 0;
+        std::vector<std::string> examples;
+    };
+    const Finding& finding(Rule rule) const { return findings_[static_cast<std::size_t>(rule)]; }
+    bool kept() const;
+    std::uint64_t tries() const { return tries_.size(); }
+    std::uint64_t attempts() const { return attempts_; }
+    std::uint64_t held_back() const { return held_back_; }
+    std::uint64_t fallen() const { return fallen_; }
+    std::uint64_t most_attempts() const { return most_attempts_; }
+
+private:
+    struct Attempt {
+        std::uint32_t server = 0;
+        Millis sent = 0;
+        bool out = true, may_have_run = true;
+    };
+    struct Record {
+        Millis deadline = 0, last_over = 0, ended = 0;
+        std::uint32_t sidecar = 0;
+        bool open = true, excused = false;
+        std::vector<Attempt> attempts;
+        const Attempt* first_possible_run() const;
+    };
+    struct Suspect {
+        TryId id;
+        std::uint32_t attempt;
+        Millis since;
+    };
+    struct Told {
+        hollybeam::Phase phase = hollybeam::Phase::on;
+        Millis at = 0, online_since = 0;
+    };
+    struct Push {
+        Millis at, work;
+        bool told;
+    };
+
+    const ClassSpec& class_of(TryId id) const;
+    void broken(Rule rule, Millis now, TryId id, const std::string& what);
+    void check_twice(Millis now, TryId id, const Record& record, std::uint32_t server);
+
+    const Incident& incident_;
+    const Callers& callers_;
+    const Millis slack_;
+    std::unordered_map<TryId, Record> tries_;
+    std::map<std::pair<std::uint32_t, std::uint32_t>, Told> told_;  // by sidecar and server
+    std::vector<std::deque<Push>> pushes_;                          // by server, within the span looked at
+    std::vector<Suspect> suspects_;
+    std::array<Finding, kRules> findings_;
+    std::uint64_t attempts_ = 0, held_back_ = 0, fallen_ = 0, most_attempts_ = 0;
+};
+
+}  // namespace elmbay::rehearsal
--- /dev/null
+++ b/src/rehearsal/report.cpp
@@ -0,0 +1,253 @@
+#include "rehearsal/report.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "rehearsal/timeline.hpp"
+
+namespace elmbay::rehearsal {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+void expect(Report& r, const char* name, double stated, double seen, bool at_most) {
+    r.expectations.push_back({name, stated, seen, at_most, at_most ? seen <= stated : seen >= stated});
+}
+
+void add_expectations(Report& r, const ExpectSpec& e) {
+    Millis p99 = 0;
+    for (const ClassReport& c : r.service.classes) p99 = std::max(p99, c.p99);
+    const ExpectSpec none;
+    if (e.goodput != none.goodput) expect(r, "goodput", e.goodput, r.service.goodput, false);
+    if (e.worst_class != none.worst_class)
+        expect(r, "worst_class", e.worst_class, r.service.worst_class, false);
+    if (e.worst_second != none.worst_second)
+        expect(r, "worst_second", e.worst_second, r.service.worst_second, false);
+    if (e.answered != none.answered) expect(r, "answered", e.answered, r.service.answered, false);
+    if (e.attempts != none.attempts) expect(r, "attempts", e.attempts, r.attempts_per_try, true);
+    if (e.held_back != none.held_back)
+        expect(r, "held_back", e.held_back,
+               r.tries > 0 ? static_cast<double>(r.held_back) / static_cast<double>(r.tries) : 0, true);
+    if (e.p99 != none.p99) expect(r, "p99", e.p99, p99, true);
+}
+
+std::string whom(const FaultSpec& f) {
+    if (f.hit.empty()) return "";
+    std::string text;
+    const char* prefix = f.kind >= FaultKind::sidecar_kill ? "n-" : "s-";
+    for (std::size_t i = 0; i < f.hit.size() && i < 6; ++i)
+        text += (i > 0 ? " " : "") + std::string(prefix) + std::to_string(f.hit[i]);
+    if (f.hit.size() > 6) text += fmt::format(" and {} more", f.hit.size() - 6);
+    return text;
+}
+
+std::string verdict(const Report& r) {
+    if (!r.punctuality.trusted()) return "NOT TO BE TRUSTED: the emulator ran late";
+    if (!r.rules_kept()) return "BROKEN";
+    return r.expectations_kept() ? "KEPT" : "RULES KEPT, EXPECTATIONS NOT MET";
+}
+
+}  // namespace
+
+bool Report::rules_kept() const {
+    return std::all_of(rules.begin(), rules.end(), [](const RuleReport& r) { return r.broken == 0; });
+}
+bool Report::expectations_kept() const {
+    return std::all_of(expectations.begin(), expectations.end(),
+                       [](const ExpectationReport& e) { return e.kept; });
+}
+
+Report make_report(const Incident& incident, const Callers& callers, const Judge& judge,
+                   const Service& service) {
+    Report r;
+    r.incident = incident.name;
+    r.about = incident.overview.about;
+    r.seed = incident.overview.seed;
+    r.length = incident.overview.length;
+    r.servers = incident.fleet.servers;
+    r.sidecars = incident.sidecars.count;
+    r.requests = callers.asks().size();
+    r.tries = judge.tries();
+    r.attempts = judge.attempts();
+    r.most_attempts = judge.most_attempts();
+    r.attempts_per_try = r.tries > 0 ? static_cast<double>(r.attempts) / static_cast<double>(r.tries) : 0;
+    r.held_back = judge.held_back();
+    r.fallen = judge.fallen();
+    for (std::size_t i = 0; i < kRules; ++i) {
+        const auto& finding = judge.finding(static_cast<Rule>(i));
+        r.rules.push_back({name_of(static_cast<Rule>(i)), finding.count, finding.examples});
+    }
+    r.service = service.report();
+    for (const FaultSpec& f : incident.faults) {
+        const Millis last = f.begins(f.hit.empty() ? 0 : f.hit.size() - 1);
+        Millis to = f.lasts > 0 ? last + f.lasts : incident.overview.length;
+        if (f.kind == FaultKind::drain) to = last + f.linger + f.lasts;
+        if (f.kind == FaultKind::join) to = f.at + incident.fleet.warm_within;
+        r.faults.push_back({f.name, whom(f), f.at, std::min(to, incident.overview.length)});
+    }
+    for (const Step& s : timeline(incident)) r.steps.push_back(text_of(s));
+    add_expectations(r, incident.expect);
+    return r;
+}
+
+std::string text_of(const Report& r) {
+    std::string t =
+        fmt::format("{} ({}, {}, seed {}): {}\n", r.incident, r.mode, r.balancer, r.seed, verdict(r));
+    if (!r.about.empty()) t += "  " + r.about + "\n";
+    t += fmt::format("  {} servers, {} sidecars, {:.0f}s, {} requests, {} tries, {} attempts\n\n", r.servers,
+                     r.sidecars, r.length / 1000, r.requests, r.tries, r.attempts);
+    for (const RuleReport& rule : r.rules) {
+        t += fmt::format("  {:<32} {}\n", rule.name,
+                         rule.broken == 0 ? "kept" : fmt::format("BROKEN {} times", rule.broken));
+        for (const std::string& example : rule.examples) t += "      " + example + "\n";
+    }
+    for (const ExpectationReport& e : r.expectations)
+        t += fmt::format("  expected {:<23} {} ({} {:.4g}, seen {:.4g})\n", e.name,
+                         e.kept ? "met" : "NOT MET", e.at_most ? "at most" : "at least", e.stated, e.seen);
+    t += fmt::format(
+        "\n  goodput {:.3f}, worst class {:.3f}, worst second {:.3f}; attempts a try {:.3f}, most {}"
+        "; sat on {}; fell over {}\n",
+        r.service.goodput, r.service.worst_class, r.service.worst_second, r.attempts_per_try, r.most_attempts,
+        r.held_back, r.fallen);
+    t += fmt::format("\n  {:<14}{:>8}{:>9}{:>7}{:>9}{:>8}{:>8}{:>8}{:>8}{:>8}\n", "class", "asked", "in aim",
+                     "late", "refused", "failed", "p50", "p90", "p99", "max ms");
+    for (const ClassReport& c : r.service.classes)
+        t += fmt::format("  {:<14}{:>8}{:>9}{:>7}{:>9}{:>8}{:>8.0f}{:>8.0f}{:>8.0f}{:>8.0f}\n", c.name,
+                         c.asked, c.in_aim, c.late, c.refused, c.failed, c.p50, c.p90, c.p99, c.most);
+    if (r.punctuality.measured)
+        t += fmt::format(
+            "\n  the emulator's own lateness: p99 {:.1f}ms, most {:.1f}ms, {:.2f}% over {:.0f}ms\n",
+            r.punctuality.p99, r.punctuality.most, 100 * r.punctuality.late_share, Punctuality::kLate);
+    for (const std::string& note : r.notes) t += "  note: " + note + "\n";
+    return t;
+}
+
+ordered_json json_of(const Report& r) {
+    ordered_json j;
+    j["incident"] = r.incident;
+    j["mode"] = r.mode;
+    j["balancer"] = r.balancer;
+    j["seed"] = r.seed;
+    j["length_ms"] = r.length;
+    j["passed"] = r.passed();
+    j["trusted"] = r.punctuality.trusted();
+    j["rules_kept"] = r.rules_kept();
+    j["expectations_kept"] = r.expectations_kept();
+    for (const RuleReport& rule : r.rules)
+        j["rules"].push_back({{"name", rule.name}, {"broken", rule.broken}, {"examples", rule.examples}});
+    j["expectations"] = ordered_json::array();
+    for (const ExpectationReport& e : r.expectations)
+        j["expectations"].push_back({{"name", e.name},
+                                     {"at_most", e.at_most},
+                                     {"stated", e.stated},
+                                     {"seen", e.seen},
+                                     {"kept", e.kept}});
+    j["counts"] = {
+        {"servers", r.servers},     {"sidecars", r.sidecars},     {"requests", r.requests},
+        {"tries", r.tries},         {"attempts", r.attempts},     {"most_attempts", r.most_attempts},
+        {"held_back", r.held_back}, {"fallen_servers", r.fallen}, {"connections", r.connections}};
+    j["goodput"] = r.service.goodput;
+    j["worst_class"] = r.service.worst_class;
+    j["worst_second"] = r.service.worst_second;
+    j["answered"] = r.service.answered;
+    j["attempts_per_try"] = r.attempts_per_try;
+    for (const ClassReport& c : r.service.classes)
+        j["classes"].push_back({{"name", c.name},
+                                {"asked", c.asked},
+                                {"in_aim", c.in_aim},
+                                {"late", c.late},
+                                {"refused", c.refused},
+                                {"failed", c.failed},
+                                {"left", c.left},
+                                {"goodput", c.goodput()},
+                                {"p50_ms", c.p50},
+                                {"p90_ms", c.p90},
+                                {"p99_ms", c.p99},
+                                {"max_ms", c.most}});
+    j["seconds"] = ordered_json::array();
+    for (const SecondReport& s : r.service.seconds)
+        j["seconds"].push_back({{"asked", s.asked},
+                                {"in_aim", s.in_aim},
+                                {"goodput", s.goodput()},
+                                {"p50_ms", s.p50},
+                                {"p99_ms", s.p99}});
+    for (std::size_t i = 0; i < r.service.servers.size(); ++i) {
+        ordered_json work = ordered_json::array(), attempts = ordered_json::array();
+        for (const ServerSecond& s : r.service.servers[i]) {
+            work.push_back(s.work);
+            attempts.push_back(s.attempts);
+        }
+        j["work_by_server"].push_back(
+            {{"server", "s-" + std::to_string(i)}, {"work_ms", work}, {"attempts", attempts}});
+    }
+    j["faults"] = ordered_json::array();
+    for (const FaultBand& f : r.faults)
+        j["faults"].push_back({{"name", f.name}, {"who", f.who}, {"from_ms", f.from}, {"to_ms", f.to}});
+    j["steps"] = r.steps;
+    if (r.punctuality.measured)
+        j["lateness"] = {{"p99_ms", r.punctuality.p99},
+                         {"max_ms", r.punctuality.most},
+                         {"late_share", r.punctuality.late_share}};
+    j["notes"] = r.notes;
+    j["log"] = {{"lines", r.log_lines}, {"fnv1a", fmt::format("{:016x}", r.log_hash)}};
+    return j;
+}
+
+Report report_from_json(const std::string& text) {
+    const ordered_json j = ordered_json::parse(text, nullptr, false);
+    if (j.is_discarded()) throw std::invalid_argument("the report is not JSON");
+    try {
+        Report r;
+        r.incident = j.at("incident").get<std::string>();
+        r.balancer = j.at("balancer").get<std::string>();
+        r.seed = j.at("seed").get<std::uint64_t>();
+        for (const auto& rule : j.at("rules"))
+            r.rules.push_back(
+                {rule.at("name").get<std::string>(), rule.at("broken").get<std::uint64_t>(), {}});
+        for (const auto& e : j.at("expectations"))
+            r.expectations.push_back({e.at("name").get<std::string>(), e.at("stated").get<double>(),
+                                      e.at("seen").get<double>(), e.at("at_most").get<bool>(),
+                                      e.at("kept").get<bool>()});
+        r.service.goodput = j.at("goodput").get<double>();
+        r.service.worst_class = j.at("worst_class").get<double>();
+        r.service.worst_second = j.at("worst_second").get<double>();
+        r.attempts_per_try = j.at("attempts_per_try").get<double>();
+        for (const auto& c : j.at("classes")) {
+            ClassReport report;
+            report.name = c.at("name").get<std::string>();
+            report.p50 = c.at("p50_ms").get<double>(), report.p99 = c.at("p99_ms").get<double>();
+            report.worth_asked = 1, report.worth_got = c.at("goodput").get<double>();
+            r.service.classes.push_back(std::move(report));
+        }
+        return r;
+    } catch (const ordered_json::exception& error) {
+        throw std::invalid_argument(std::string("the report is not one of ours: ") + error.what());
+    }
+}
+
+std::string comparison_of(const Report& a, const Report& b) {
+    std::string t = fmt::format("{:<28}{:>22}{:>22}\n", a.incident, a.balancer, b.balancer);
+    const auto row = [&](const std::string& name, double x, double y, int digits) {
+        t += fmt::format("{:<28}{:>22.{}f}{:>22.{}f}\n", name, x, digits, y, digits);
+    };
+    for (std::size_t i = 0; i < a.rules.size(); ++i)
+        t += fmt::format("{:<28}{:>22}{:>22}\n", a.rules[i].name,
+                         a.rules[i].broken ? fmt::format("BROKEN {}", a.rules[i].broken) : "kept",
+                         b.rules[i].broken ? fmt::format("BROKEN {}", b.rules[i].broken) : "kept");
+    row("goodput", a.service.goodput, b.service.goodput, 4);
+    row("worst class", a.service.worst_class, b.service.worst_class, 4);
+    row("worst second", a.service.worst_second, b.service.worst_second, 4);
+    row("attempts a try", a.attempts_per_try, b.attempts_per_try, 4);
+    for (std::size_t i = 0; i < a.service.classes.size() && i < b.service.classes.size(); ++i) {
+        const ClassReport &x = a.service.classes[i], &y = b.service.classes[i];
+        row(x.name + " goodput", x.goodput(), y.goodput(), 4);
+        row(x.name + " p50 ms", x.p50, y.p50, 0);
+        row(x.name + " p99 ms", x.p99, y.p99, 0);
+    }
+    return t;
+}
+
+}  // namespace elmbay::rehearsal
--- /dev/null
+++ b/src/rehearsal/service.cpp
@@ -0,0 +1,96 @@
+#include "rehearsal/service.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace elmbay::rehearsal {
+
+namespace {
+
+// Seconds with less than this part of the mean worth say too little to be the worst.
+constexpr double kThinSecond = 0.5;
+
+Millis quantile(const std::vector<Millis>& sorted, double q) {
+    if (sorted.empty()) return 0;
+    return sorted[static_cast<std::size_t>(q * static_cast<double>(sorted.size() - 1) + 0.5)];
+}
+
+}  // namespace
+
+Service::Service(const Incident& incident, const Callers& callers)
+    : incident_(incident),
+      callers_(callers),
+      classes_(incident.classes.size()),
+      seconds_(static_cast<std::size_t>(std::ceil(incident.overview.length / 1000))),
+      servers_(incident.fleet.servers) {
+    for (std::size_t i = 0; i < classes_.size(); ++i) classes_[i].name = incident.classes[i].name;
+}
+
+void Service::attempt(Millis now, std::uint32_t server, Millis work) {
+    auto& seconds = servers_[server];
+    const auto second = static_cast<std::size_t>(std::max(0.0, now) / 1000);
+    // The end of a run trails into a few seconds more; beyond that nothing is drawn.
+    if (second >= seconds_.size() + 60) return;
+    if (seconds.size() <= second) seconds.resize(second + 1);
+    ++seconds[second].attempts;
+    seconds[second].work += static_cast<float>(work);
+}
+
+void Service::ended(Millis now, RequestNumber request, Answer answer) {
+    const Ask& ask = callers_.ask(request);
+    ClassReport& c = classes_[ask.class_index];
+    const auto index = std::min(static_cast<std::size_t>(ask.at / 1000), seconds_.size() - 1);
+    SecondReport& second = seconds_[index];
+    const double worth = incident_.classes[ask.class_index].worth * callers_.work(request);
+    ++c.asked, ++second.asked;
+    c.worth_asked += worth, second.worth_asked += worth;
+    if (answer == Answer::served) {
+        const Millis took = now - ask.at;
+        served_.push_back({static_cast<std::uint32_t>(index), ask.class_index, took});
+        const bool in_aim = took <= incident_.classes[ask.class_index].aim;
+        c.in_aim += in_aim, c.late += !in_aim, second.in_aim += in_aim;
+        if (in_aim) c.worth_got += worth, second.worth_got += worth;
+    } else if (answer == Answer::refused) {
+        ++c.refused;
+    } else {
+        ++c.failed;
+    }
+}
+
+void Service::left(RequestNumber request) { ++classes_[callers_.ask(request).class_index].left; }
+
+Service::Report Service::report() const {
+    Report r;
+    r.classes = classes_;
+    r.seconds = seconds_;
+    r.servers = servers_;
+    std::vector<std::vector<Millis>> by_class(classes_.size()), by_second(seconds_.size());
+    for (const Served& s : served_) {
+        by_class[s.class_index].push_back(s.took);
+        by_second[s.second].push_back(s.took);
+    }
+    double asked = 0, got = 0;
+    std::uint64_t requests = 0;
+    r.worst_class = r.worst_second = 1;
+    for (std::size_t i = 0; i < classes_.size(); ++i) {
+        auto& took = by_class[i];
+        std::sort(took.begin(), took.end());
+        ClassReport& c = r.classes[i];
+        c.p50 = quantile(took, 0.5), c.p90 = quantile(took, 0.9), c.p99 = quantile(took, 0.99);
+        c.most = took.empty() ? 0 : took.back();
+        asked += c.worth_asked, got += c.worth_got;
+        requests += c.asked;
+        r.worst_class = std::min(r.worst_class, c.goodput());
+    }
+    for (std::size_t i = 0; i < seconds_.size(); ++i) {
+        std::sort(by_second[i].begin(), by_second[i].end());
+        r.seconds[i].p50 = quantile(by_second[i], 0.5), r.seconds[i].p99 = quantile(by_second[i], 0.99);
+        if (seconds_[i].worth_asked * static_cast<double>(seconds_.size()) >= asked * kThinSecond)
+            r.worst_second = std::min(r.worst_second, seconds_[i].goodput());
+    }
+    r.goodput = asked > 0 ? got / asked : 1;
+    r.answered = requests > 0 ? static_cast<double>(served_.size()) / static_cast<double>(requests) : 1;
+    return r;
+}
+
+}  // namespace elmbay::rehearsal
--- /dev/null
+++ b/src/rehearsal/timeline.hpp
@@ -0,0 +1,53 @@
+// What the incident file says, laid out in time: every single change that a driver carries out, and every
+// notice that the registry gives. Both are fixed by file and seed alone, before anything runs.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "rehearsal/incident.hpp"
+
+namespace elmbay::rehearsal {
+
+enum class Change {
+    freeze,     // stands still for `value` ms
+    neighbour,  // `value` of the machine is taken from now on
+    fail_fast,  // `value` of the requests fail from now on
+    hollow,     // 1: accepts and answers none; 0: no longer
+    drain,      // has been told to end
+    stop,       // the process ends
+    vanish,     // the machine is cut off
+    start,      // a process begins, cold
+    sidecar_kill,
+    sidecar_start,
+    sidecar_restart,
+    sidecar_reload
+};
+const char* name_of(Change change);
+
+struct Step {
+    Millis at = 0;
+    Change change = Change::freeze;
+    std::uint32_t who = 0;
+    double value = 0;
+    bool sidecar() const { return change >= Change::sidecar_kill; }
+};
+// In order of time, then of the file.
+std::vector<Step> timeline(const Incident& incident);
+std::string text_of(const Step& step);
+
+// One change of the list. at: when the registry knows it; a sidecar is told spread_of() later.
+struct Notice {
+    Millis at = 0;
+    std::uint32_t server = 0;
+    hollybeam::Phase phase = hollybeam::Phase::on;
+    Millis online_since = 0;  // 0: since before the start
+};
+// In order of time. What is told of one server stays in the order in which it happened.
+std::vector<Notice> notices(const Incident& incident, const std::vector<Step>& steps);
+Millis spread_of(const Incident& incident, std::uint32_t sidecar);
+
+// The rate that callers ask at, as a multiple of the usual one: faults of kind load together.
+double load_at(const Incident& incident, Millis at);
+
+}  // namespace elmbay::rehearsal
--- /dev/null
+++ b/src/rehearsal/virtual_run.cpp
@@ -0,0 +1,638 @@
+#include "rehearsal/virtual_run.hpp"
+
+#include <algorithm>
+#include <cstdarg>
+#include <cstdio>
+#include <queue>
+#include <unordered_map>
+
+#include "rehearsal/archive.hpp"
+#include "rehearsal/balancers.hpp"
+#include "rehearsal/chance.hpp"
+
+namespace elmbay::rehearsal {
+
+namespace {
+
+using namespace hollybeam;
+
+// The module's clock at time 0: servers that started "long ago" have 0, so no start may come out as 0.
+constexpr Millis kEpoch = 1e9;
+// As the real sidecar: its answer leaves this much before the caller's time is over, or a tenth of it.
+constexpr Millis kAnswerMargin = 8;
+constexpr double kMostMarginShare = 0.1;
+constexpr Millis kClientLatency = 0.1;
+// After the last arrival all that is open must end within the longest patience; this is added for what is
+// sent back and forth.
+constexpr Millis kTail = 5000;
+
+enum class What {
+    ask,
+    timer,
+    arrive,
+    reply,
+    expire,
+    recall,
+    idle,
+    leave,
+    patience,
+    step,
+    told,
+    poll,
+    revive
+};
+
+struct Happening {
+    Millis at = 0;
+    std::uint64_t number = 0;
+    What what = What::ask;
+    std::uint32_t who = 0;
+    std::uint64_t a = 0;
+    std::uint64_t b = 0;
+    bool operator>(const Happening& other) const {
+        return at != other.at ? at > other.at : number > other.number;
+    }
+};
+
+// One attempt from the sidecar's decision to its end there.
+struct Attempt {
+    TryId id = 0;
+    std::uint32_t sidecar = 0, server = 0, number = 0, judged = 0, life = 0;
+    std::uint32_t epoch = 0;  // of the server's process that has the connection
+    Ticket ticket = 0;
+    Millis sent = 0, latency = 0;
+    bool out = true;       // the sidecar waits for it
+    bool fresh = false;    // its connection has to come up first
+    bool arrived = false;  // or it never will
+    bool connected = false;
+    Outcome outcome = Outcome::completed;
+};
+
+struct Instance {
+    std::unique_ptr<Decider> decider;
+    struct Open {
+        std::vector<std::uint64_t> attempts;
+        std::uint32_t out = 0;
+        bool over = false;
+    };
+    std::unordered_map<RequestId, Open> requests;
+    struct Idle {
+        std::uint64_t number;
+        std::uint32_t epoch;
+    };
+    std::vector<std::vector<Idle>> idle;  // by server, the last used at the back
+    std::uint32_t life = 0;
+    bool alive = true, draining = false;
+};
+
+// The last of a try, until the caller has its answer or is gone.
+struct OpenTry {
+    Try t;
+    std::uint32_t life = 0;
+};
+
+class VirtualRun {
+public:
+    VirtualRun(const Incident& incident, const VirtualOptions& options)
+        : incident_(incident),
+          options_(options),
+          callers_(incident),
+          archive_(incident, callers_),
+          judge_(incident, callers_, 0),
+          service_(incident, callers_),
+          steps_(timeline(incident)),
+          notices_(notices(incident, steps_)),
+          epochs_(archive_.count(), 0),
+          poll_at_(archive_.count(), -1) {
+        for (std::uint32_t i = 0; i < archive_.count(); ++i) listed_.push_back(info_of(i, Phase::on, 0));
+        for (std::uint32_t i = 0; i < archive_.count(); ++i)
+            if (!archive_.there_at_start(i)) listed_[i].phase = Phase::off;
+        instances_.resize(incident.sidecars.count);
+    }
+
+    Report run() {
+        for (std::uint32_t i = 0; i < instances_.size(); ++i) begin_life(i);
+        for (std::size_t i = 0; i < steps_.size(); ++i) put(steps_[i].at, What::step, 0, i);
+        for (std::size_t i = 0; i < notices_.size(); ++i) put(notices_[i].at, What::told, 0, i, 0);
+        ask_next();
+        const Millis length = incident_.overview.length;
+        Millis patience = 0;
+        for (const ClassSpec& c : incident_.classes) patience = std::max(patience, c.give_up);
+        Millis shown = 0;
+        while (!queue_.empty()) {
+            const Happening h = queue_.top();
+            if (h.at > length + patience + kTail || (h.at > length && open_.empty() && pending_ == 0)) break;
+            queue_.pop();
+            now_ = h.at;
+            happen(h);
+            if (options_.progress && now_ > shown + length / 100) {
+                shown = now_;
+                options_.progress(std::min(1.0, now_ / length));
+            }
+        }
+        judge_.finish(now_);
+        Report report = make_report(incident_, callers_, judge_, service_);
+        report.mode = "virtual";
+        report.balancer = options_.balancer;
+        report.connections = connections_;
+        report.log_lines = log_lines_;
+        report.log_hash = log_hash_;
+        return report;
+    }
+
+private:
+    // ---- the queue
+    void put(Millis at, What what, std::uint32_t who, std::uint64_t a = 0, std::uint64_t b = 0) {
+        queue_.push({std::max(at, now_), ++number_, what, who, a, b});
+    }
+    void happen(const Happening& h) {
+        switch (h.what) {
+            case What::ask:
+                return ask(h);
+            case What::timer:
+                return timer(h);
+            case What::arrive:
+                return arrive(h.a);
+            case What::reply:
+                return ended(h.a, std::nullopt);
+            case What::expire:
+                return ended(h.a, Outcome::overdue);
+            case What::recall:
+                return report_end(h.a, Outcome::recalled);
+            case What::idle:
+                return idle_over(h);
+            case What::leave:
+                return leave(h.a, static_cast<std::uint32_t>(h.b));
+            case What::patience:
+                return out_of_patience(h.a);
+            case What::step:
+                return step(steps_[h.a]);
+            case What::revive:
+                if (instances_[h.who].draining) begin_life(h.who);
+                return;
+            case What::told:
+                return told(h);
+            case What::poll:
+                if (h.at != poll_at_[h.who]) return;
+                poll_at_[h.who] = -1;
+                archive_.server(h.who).advance(now_, out_);
+                return pump(h.who);
+        }
+    }
+
+    // ---- callers
+    // Arrivals enter the queue one at a time: millions of them need not be in it together.
+    void ask_next() {
+        if (next_ask_ >= callers_.asks().size()) return;
+        const Try t = callers_.first(next_ask_++);
+        ++pending_;
+        waiting_.emplace(t.id, t);
+        put(t.at, What::ask, 0, t.id, 1);
+    }
+    void ask(const Happening& h) {
+        --pending_;
+        if (h.b == 1) ask_next();
+        const auto waiting = waiting_.find(h.a);
+        const Try t = waiting->second;
+        waiting_.erase(waiting);
+        const Ask& a = callers_.ask(request_of(t.id));
+        Instance& n = instances_[a.sidecar];
+        log("ask %llu n-%u %s", ull(t.id), a.sidecar, incident_.classes[a.class_index].name.c_str());
+        if (!n.alive || n.draining) return after(t, Answer::none, 0);  // nobody there: it has not been taken
+        judge_.asked(now_, t);
+        open_[t.id] = {t, n.life};
+        put(now_ + t.time_left, What::patience, 0, t.id);
+        if (t.leaves > 0) put(now_ + t.leaves, What::leave, a.sidecar, t.id, n.life);
+        n.requests[t.id];
+        RequestArrived event;
+        event.id = t.id;
+        event.class_index = a.class_index;
+        event.time_left =
+            std::max(1.0, t.time_left - std::min(kAnswerMargin, t.time_left * kMostMarginShare));
+        event.repeat = t.id % kMostTries > 0;
+        give(a.sidecar, event);
+    }
+    void answer(std::uint32_t who, TryId id, Answer what, Millis retry_after) {
+        const auto at = instances_[who].requests.find(id);
+        if (at == instances_[who].requests.end() || at->second.over) return;
+        at->second.over = true;
+        const auto open = open_.find(id);
+        log("answer %llu %s", ull(id),
+            what == Answer::served    ? "served"
+            : what == Answer::refused ? "refused"
+                                      : "failed");
+        judge_.answered(now_ + kClientLatency, id, what);
+        if (open == open_.end()) return;
+        const Try t = open->second.t;
+        open_.erase(open);
+        after(t, what, retry_after);
+    }
+    // The caller goes on, or the request is over.
+    void after(const Try& t, Answer what, Millis retry_after) {
+        if (const auto next = callers_.next(now_, t, what, retry_after)) {
+            ++pending_;
+            waiting_.emplace(next->id, *next);
+            put(next->at, What::ask, 0, next->id, 0);
+        } else {
+            service_.ended(now_ + kClientLatency, request_of(t.id), what);
+        }
+    }
+    void out_of_patience(TryId id) {
+        const auto open = open_.find(id);
+        if (open == open_.end()) return;
+        const Try t = open->second.t;
+        log("silence %llu", ull(id));
+        judge_.answered(now_, id, Answer::none);
+        gone(callers_.ask(request_of(id)).sidecar, id);
+        after(t, Answer::none, 0);
+    }
+    void leave(TryId id, std::uint32_t life) {
+        const std::uint32_t who = callers_.ask(request_of(id)).sidecar;
+        if (!open_.contains(id) || instances_[who].life != life) return;
+        log("leave %llu", ull(id));
+        judge_.left(now_, id);
+        service_.left(request_of(id));
+        gone(who, id);
+    }
+    void gone(std::uint32_t who, TryId id) {
+        open_.erase(id);
+        const auto at = instances_[who].requests.find(id);
+        if (at == instances_[who].requests.end() || at->second.over) return;
+        at->second.over = true;
+        give(who, ClientGone{id});
+        settle(who, id);
+    }
+
+    // ---- sidecars
+    ServerInfo info_of(std::uint32_t server, Phase phase, Millis online_since) const {
+        return {
+            server + 1, incident_.hall_of(server), 0, 0, phase, online_since > 0 ? online_since + kEpoch : 0};
+    }
+    void begin_life(std::uint32_t who) {
+        Instance& n = instances_[who];
+        ++n.life;
+        n.alive = true;
+        n.draining = false;
+        n.idle.assign(archive_.count(), {});
+        const std::uint64_t seed = stream(incident_.overview.seed, Purpose::balancer, who, n.life).next();
+        n.decider = make_balancer(options_.balancer, incident_.settings(who), seed);
+        give(who, Started{});
+        ServerList list{ListKind::saved, {}};
+        for (const ServerInfo& info : listed_) {
+            if (info.phase != Phase::off) list.servers.push_back(info);
+            judge_.told(now_, who, info.id - 1, info.phase, std::max(0.0, info.online_since - kEpoch));
+        }
+        give(who, std::move(list));
+    }
+    void kill(std::uint32_t who) {
+        Instance& n = instances_[who];
+        n.alive = false;
+        judge_.sidecar_died(who);
+        for (const std::uint64_t number : out_of(who, {})) {
+            end(attempts_.at(number), Outcome::severed);
+            drop_if_done(number);
+        }
+        close_idle(n);
+        n.requests.clear();
+        n.decider.reset();
+        std::vector<Try> lost;
+        for (const auto& [id, open] : open_)
+            if (callers_.ask(request_of(id)).sidecar == who) lost.push_back(open.t);
+        std::sort(lost.begin(), lost.end(), [](const Try& a, const Try& b) { return a.id < b.id; });
+        for (const Try& t : lost) {
+            open_.erase(t.id);
+            judge_.answered(now_, t.id, Answer::none);
+            after(t, Answer::none, 0);
+        }
+    }
+    void give(std::uint32_t who, const Event& event) {
+        Instance& n = instances_[who];
+        if (!n.decider) return;
+        std::vector<Action> actions;
+        n.decider->handle(now_ + kEpoch, event, actions);
+        for (const Action& action : actions) act(who, action);
+    }
+    void act(std::uint32_t who, const Action& action) {
+        if (const auto* send_to = std::get_if<Send>(&action)) {
+            send(who, *send_to);
+        } else if (const auto* cancel = std::get_if<Cancel>(&action)) {
+            const auto open = instances_[who].requests.find(cancel->id);
+            if (open == instances_[who].requests.end() || cancel->attempt >= open->second.attempts.size())
+                return;
+            const std::uint64_t number = open->second.attempts[cancel->attempt];
+            const auto at = attempts_.find(number);
+            if (at == attempts_.end() || !at->second.out) return;
+            end(at->second, Outcome::recalled);
+            put(now_, What::recall, who, number);
+        } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
+            answer(who, refuse->id, Answer::refused, refuse->retry_in);
+            settle(who, refuse->id);
+        } else if (const auto* up = std::get_if<GiveUp>(&action)) {
+            answer(who, up->id, Answer::failed, 0);
+            settle(who, up->id);
+        } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
+            put(timer->at - kEpoch, What::timer, who, timer->token, instances_[who].life);
+        }
+    }
+    void timer(const Happening& h) {
+        if (instances_[h.who].life == h.b) give(h.who, TimerFired{h.a});
+    }
+    void settle(std::uint32_t who, TryId id) {
+        Instance& n = instances_[who];
+        const auto at = n.requests.find(id);
+        if (at != n.requests.end() && at->second.over && at->second.out == 0) n.requests.erase(at);
+        if (n.draining && n.requests.empty()) {
+            close_idle(n);
+            put(now_, What::revive, who);  // not here: its module is at work
+        }
+    }
+    void close_idle(Instance& n) {
+        for (std::uint32_t s = 0; s < archive_.count(); ++s) {
+            for (; !n.idle[s].empty(); n.idle[s].pop_back())
+                if (n.idle[s].back().epoch == epochs_[s]) archive_.server(s).disconnect(now_, out_);
+            pump(s);
+        }
+    }
+
+    // ---- attempts
+    // An attempt stays in the table until its sidecar is done with it and its bytes have come, whichever is
+    // later.
+    void send(std::uint32_t who, const Send& s) {
+        Instance& n = instances_[who];
+        const auto open = n.requests.find(s.id);
+        const std::uint32_t server = s.server - 1;
+        if (open == n.requests.end() || server >= archive_.count()) return;
+        const std::uint64_t number = ++last_attempt_;
+        Attempt& a = attempts_[number];
+        a.id = s.id, a.sidecar = who, a.server = server;
+        a.number = static_cast<std::uint32_t>(open->second.attempts.size());
+        a.life = n.life, a.sent = now_, a.epoch = epochs_[server];
+        open->second.attempts.push_back(number);
+        ++open->second.out;
+        Random random = stream(incident_.overview.seed, Purpose::latency, s.id, a.number);
+        const bool same = incident_.hall_of(server) == who % incident_.fleet.halls.size();
+        a.latency = (same ? incident_.fleet.same_hall : incident_.fleet.cross_hall) *
+                    (1 + incident_.fleet.latency_jitter * (2 * random.unit() - 1));
+        log("send %llu.%u n-%u s-%u", ull(a.id), a.number, who, server);
+        a.judged = judge_.sent(now_, a.id, server, who);
+        if (s.try_until > 0) put(s.try_until - kEpoch, What::expire, who, number);
+        if (!n.idle[server].empty()) {
+            a.epoch = n.idle[server].back().epoch;
+            n.idle[server].pop_back();
+            a.connected = true;
+            return put(now_ + a.latency, What::arrive, who, number);
+        }
+        a.fresh = true;
+        if (archive_.server(server).reachable()) return put(now_ + 3 * a.latency, What::arrive, who, number);
+        never_up(a, number, incident_.fleet.connect_timeout);
+    }
+    void never_up(Attempt& a, std::uint64_t number, Millis after) {
+        judge_.reached(now_, a.id, a.judged, Judge::Reached::never);
+        a.arrived = true;
+        a.outcome = Outcome::refused_connection;
+        put(now_ + after, What::reply, a.sidecar, number);
+    }
+    void arrive(std::uint64_t number) {
+        const auto at = attempts_.find(number);
+        if (at == attempts_.end()) return;
+        Attempt& a = at->second;
+        ServerModel& server = archive_.server(a.server);
+        if (a.fresh && !a.out) {  // given up before the connection was there: not a byte of it was written
+            attempts_.erase(at);
+            return;
+        }
+        if (a.fresh) {
+            if (!server.reachable()) return never_up(a, number, incident_.fleet.connect_timeout);
+            const bool up = server.connect(now_, out_);
+            pump(a.server);
+            if (!up) return never_up(a, number, a.latency);
+            ++connections_;
+            a.connected = true;
+            a.epoch = epochs_[a.server];
+        }
+        a.arrived = true;
+        if (a.epoch != epochs_[a.server]) {  // the process that had this connection is gone
+            if (server.reachable()) {
+                a.outcome = Outcome::severed;
+                put(now_ + a.latency, What::reply, a.sidecar, number);
+            }
+            return drop_if_done(number);
+        }
+        const ServerLoad load{callers_.attempt_work(request_of(a.id), a.server), server.capacity(now_),
+                              server.started(), server.cold(now_)};
+        a.ticket = archive_.arrive(now_, a.server, a.id, out_);
+        const bool away = std::any_of(out_.begin(), out_.end(), [&](const Departure& d) {
+            return d.ticket == a.ticket && d.fate == Fate::turned_away;
+        });
+        log("reach %llu.%u s-%u %.3f%s", ull(a.id), a.number, a.server, load.work, away ? " away" : "");
+        service_.attempt(now_, a.server, load.work);
+        tickets_[a.ticket] = number;
+        const std::uint32_t where = a.server;
+        const bool fell = judge_.reached(now_, a.id, a.judged,
+                                         away ? Judge::Reached::turned_away : Judge::Reached::accepted, load);
+        if (!a.out) abandon(a);  // given up on its way, though the bytes had gone out
+        drop_if_done(number);
+        pump(where);
+        if (!fell) return;
+        log("fell s-%u", where);
+        ++epochs_[where];
+        archive_.fell(now_, where, out_);
+        forget_connections(where);
+        pump(where);
+    }
+    // What a server has brought to an end goes back to where it came from.
+    void pump(std::uint32_t server) {
+        const ServerModel::Out departed = std::exchange(out_, {});
+        for (const Departure& d : departed) {
+            const auto at = tickets_.find(d.ticket);
+            if (at == tickets_.end()) continue;
+            const std::uint64_t number = at->second;
+            tickets_.erase(at);
+            const auto found = attempts_.find(number);
+            if (found == attempts_.end()) continue;
+            Attempt& a = found->second;
+            a.ticket = 0;
+            if (!a.out) continue;
+            a.outcome = d.fate == Fate::done          ? Outcome::completed
+                        : d.fate == Fate::failed      ? Outcome::errored
+                        : d.fate == Fate::turned_away ? Outcome::saturated
+                                                      : Outcome::severed;
+            put(now_ + a.latency, What::reply, a.sidecar, number);
+        }
+        const Millis next = archive_.server(server).next();
+        if (next < 1e300 && (poll_at_[server] < 0 || next < poll_at_[server])) {
+            poll_at_[server] = std::max(next, now_);
+            put(next, What::poll, server);
+        }
+    }
+    void ended(std::uint64_t number, std::optional<Outcome> outcome) {
+        const auto at = attempts_.find(number);
+        if (at == attempts_.end() || !at->second.out) return;
+        const Outcome what = outcome.value_or(at->second.outcome);
+        end(at->second, what);
+        report_end(number, what);
+    }
+    // The sidecar's side of it is over: the connection goes back to the pool, or is closed.
+    void end(Attempt& a, Outcome outcome) {
+        a.out = false;
+        judge_.over(now_, a.id, a.judged);
+        const bool clean =
+            outcome == Outcome::completed || outcome == Outcome::errored || outcome == Outcome::saturated;
+        const bool there = a.connected && a.epoch == epochs_[a.server];
+        const Instance& n = instances_[a.sidecar];
+        if (clean && there && n.life == a.life && !n.draining) {
+            instances_[a.sidecar].idle[a.server].push_back({++last_idle_, a.epoch});
+            put(now_ + incident_.fleet.idle_close, What::idle, a.sidecar, last_idle_, a.server);
+        } else if (there) {
+            archive_.server(a.server).disconnect(now_, out_);
+        }
+        a.connected = false;
+        abandon(a);
+        pump(a.server);
+    }
+    void abandon(Attempt& a) {
+        if (a.ticket == 0) return;
+        tickets_.erase(a.ticket);
+        archive_.server(a.server).abandon(now_, a.ticket, out_);
+        a.ticket = 0;
+    }
+    void drop_if_done(std::uint64_t number) {
+        const auto at = attempts_.find(number);
+        if (at != attempts_.end() && !at->second.out && at->second.arrived) attempts_.erase(at);
+    }
+    void report_end(std::uint64_t number, Outcome outcome) {
+        const auto found = attempts_.find(number);
+        if (found == attempts_.end()) return;
+        const Attempt a = found->second;
+        drop_if_done(number);
+        Instance& n = instances_[a.sidecar];
+        const auto at = n.requests.find(a.id);
+        if (n.life != a.life || at == n.requests.end()) return;
+        --at->second.out;
+        log("end %llu.%u s-%u %d", ull(a.id), a.number, a.server, static_cast<int>(outcome));
+        if (outcome == Outcome::completed && !at->second.over) answer(a.sidecar, a.id, Answer::served, 0);
+        give(a.sidecar, AttemptEnded{a.id, a.number, outcome, now_ - a.sent, at->second.over});
+        settle(a.sidecar, a.id);
+    }
+    // In order of their numbers: the table's order is its own affair.
+    std::vector<std::uint64_t> out_of(std::optional<std::uint32_t> sidecar,
+                                      std::optional<std::uint32_t> server) const {
+        std::vector<std::uint64_t> list;
+        for (const auto& [number, a] : attempts_)
+            if (a.out && (!sidecar || a.sidecar == *sidecar) && (!server || a.server == *server))
+                list.push_back(number);
+        std::sort(list.begin(), list.end());
+        return list;
+    }
+
+    void idle_over(const Happening& h) {
+        auto& idle = instances_[h.who].idle[h.b];
+        const auto at =
+            std::find_if(idle.begin(), idle.end(), [&](const auto& i) { return i.number == h.a; });
+        if (at == idle.end()) return;
+        const bool there = at->epoch == epochs_[h.b];
+        idle.erase(at);
+        if (!there) return;
+        archive_.server(static_cast<std::uint32_t>(h.b)).disconnect(now_, out_);
+        pump(static_cast<std::uint32_t>(h.b));
+    }
+    void forget_connections(std::uint32_t server) {
+        for (Instance& n : instances_) n.idle[server].clear();
+    }
+
+    // ---- what the file says
+    void step(const Step& s) {
+        log("step %s", text_of(s).c_str());
+        if (s.change == Change::sidecar_kill) return kill(s.who);
+        if (s.change == Change::sidecar_start) return begin_life(s.who);
+        if (s.change == Change::sidecar_restart) {
+            instances_[s.who].draining = true;
+            if (instances_[s.who].requests.empty()) put(now_, What::revive, s.who);
+            return;
+        }
+        if (s.sidecar()) return;
+        if (s.change == Change::stop || s.change == Change::vanish) ++epochs_[s.who];
+        const bool was_cut_off = !archive_.server(s.who).reachable();
+        archive_.apply(s, out_);
+        pump(s.who);
+        if (s.change == Change::stop) forget_connections(s.who);
+        if (s.change == Change::start && was_cut_off) {
+            // Back under its address: it knows none of the connections that stayed open, and resets them.
+            forget_connections(s.who);
+            for (const std::uint64_t number : out_of({}, s.who)) {
+                Attempt& a = attempts_.at(number);
+                if (!a.arrived) continue;
+                a.outcome = Outcome::severed;
+                put(now_ + a.latency, What::reply, a.sidecar, number);
+            }
+        }
+    }
+    // The registry first, then every sidecar a little later.
+    void told(const Happening& h) {
+        const Notice& notice = notices_[h.a];
+        const ServerInfo info = info_of(notice.server, notice.phase, notice.online_since);
+        if (h.b == 0) {
+            ServerInfo& known = listed_[notice.server];
+            const Millis since = std::max(known.online_since, info.online_since);
+            known = info;
+            known.online_since = since;
+            for (std::uint32_t i = 0; i < instances_.size(); ++i)
+                put(now_ + spread_of(incident_, i), What::told, i, h.a, 1);
+            return;
+        }
+        if (!instances_[h.who].decider) return;
+        ServerInfo entry = info;
+        entry.online_since = std::max(entry.online_since, listed_[notice.server].online_since);
+        judge_.told(now_, h.who, notice.server, entry.phase, std::max(0.0, entry.online_since - kEpoch));
+        log("told n-%u s-%u %d", h.who, notice.server, static_cast<int>(entry.phase));
+        give(h.who, ServerList{ListKind::incremental, {entry}});
+    }
+
+    // ---- the log
+    static unsigned long long ull(std::uint64_t v) { return v; }
+    __attribute__((format(printf, 2, 3))) void log(const char* format, ...) {
+        char line[192];
+        int n = std::snprintf(line, sizeof line, "%.4f ", now_);
+        va_list args;
+        va_start(args, format);
+        n += std::vsnprintf(line + n, sizeof line - static_cast<std::size_t>(n), format, args);
+        va_end(args);
+        n = std::min<int>(n, sizeof line - 2);
+        line[n++] = '\n';
+        const std::string_view text(line, static_cast<std::size_t>(n));
+        ++log_lines_;
+        log_hash_ = fnv1a(text, log_hash_);
+        if (options_.log) *options_.log << text;
+    }
+
+    const Incident& incident_;
+    const VirtualOptions& options_;
+    Callers callers_;
+    Archive archive_;
+    Judge judge_;
+    Service service_;
+    const std::vector<Step> steps_;
+    const std::vector<Notice> notices_;
+    std::vector<Instance> instances_;
+    std::vector<ServerInfo> listed_;
+    std::vector<std::uint32_t> epochs_;  // by server: its connections of an earlier one are gone
+    std::vector<Millis> poll_at_;
+    std::priority_queue<Happening, std::vector<Happening>, std::greater<>> queue_;
+    std::uint64_t number_ = 0, last_attempt_ = 0, last_idle_ = 0;
+    Millis now_ = 0;
+    std::size_t next_ask_ = 0, pending_ = 0;
+    std::unordered_map<TryId, Try> waiting_;
+    std::unordered_map<TryId, OpenTry> open_;
+    std::unordered_map<std::uint64_t, Attempt> attempts_;
+    std::unordered_map<Ticket, std::uint64_t> tickets_;
+    ServerModel::Out out_;
+    std::uint64_t connections_ = 0, log_lines_ = 0, log_hash_ = kFnvStart;
+};
+
+}  // namespace
+
+Report run_virtual(const Incident& incident, const VirtualOptions& options) {
+    return VirtualRun(incident, options).run();
+}
+
+}  // namespace elmbay::rehearsal
--- /dev/null
+++ b/src/rehearsal/virtual_run.hpp
@@ -0,0 +1,24 @@
+// An incident in simulated time: the models round decision modules, without sockets, as fast as it goes.
+//
+// One thread and one queue of events ordered by time and then by number: the same incident, seed and balancer
+// give the same log byte for byte.
+#pragma once
+
+#include <functional>
+#include <ostream>
+#include <string>
+
+#include "rehearsal/report.hpp"
+
+namespace elmbay::rehearsal {
+
+struct VirtualOptions {
+    std::string balancer = "elmbay";
+    std::ostream* log = nullptr;             // a line an event
+    std::function<void(double)> progress{};  // share of the time played, now and then
+};
+
+// Throws std::invalid_argument for a balancer that does not exist.
+Report run_virtual(const Incident& incident, const VirtualOptions& options);
+
+}  // namespace elmbay::rehearsal
--- /dev/null
+++ b/tools/rehearsal/bundle.hpp
@@ -0,0 +1,16 @@
+// The incidents that come with the program.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace elmbay::rehearsal {
+
+struct Bundled {
+    std::string name;
+    std::string text;
+};
+// In order of their names.
+const std::vector<Bundled>& bundled();
+
+}  // namespace elmbay::rehearsal
--- /dev/null
+++ b/tools/rehearsal/main.cpp
@@ -0,0 +1,209 @@
+// elmbay_rehearsal: plays an archive that fails on a script, and judges who balances it.
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "bundle.hpp"
+#include "rehearsal/balancers.hpp"
+#include "rehearsal/report.hpp"
+#include "rehearsal/virtual_run.hpp"
+
+namespace {
+
+using namespace elmbay::rehearsal;
+
+constexpr int kKept = 0, kBroken = 1, kWrongUse = 2;
+
+// Wrong use of the command line or a file that can't be used: exit code 2.
+struct UseError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+std::string read_file(const std::string& path) {
+    const std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file)
+        throw UseError(path + ": can't be read; `elmbay_rehearsal list` names the incidents that come along");
+    return text.str();
+}
+
+void write_file(const std::string& path, const std::string& text) {
+    std::ofstream file(path);
+    file << text;
+    file.close();
+    if (!file) throw std::runtime_error(path + ": can't be written");
+}
+
+// A bundled name, or a file.
+Incident load(const std::string& which, std::optional<std::uint64_t> seed) {
+    for (const Bundled& b : bundled())
+        if (b.name == which) {
+            Incident incident = parse_incident(b.text, b.name + ".toml", seed);
+            incident.name = b.name;
+            return incident;
+        }
+    Incident incident = parse_incident(read_file(which), which, seed);
+    const auto slash = which.rfind('/');
+    incident.name = which.substr(slash == std::string::npos ? 0 : slash + 1);
+    return incident;
+}
+
+struct RunOptions {
+    std::string incident = "radio-feature";
+    std::string balancer = "elmbay";
+    std::optional<std::uint64_t> seed;
+    std::string json, html, log;
+    bool quiet = false;
+};
+
+std::function<void(double)> progress_bar(bool quiet) {
+    if (quiet || !::isatty(STDERR_FILENO)) return {};
+    return [](double share) {
+        const int filled = static_cast<int>(share * 40);
+        std::cerr << "\r[" << std::string(static_cast<std::size_t>(filled), '=')
+                  << std::string(static_cast<std::size_t>(40 - filled), ' ') << "] "
+                  << static_cast<int>(share * 100) << "% " << (share >= 1 ? "\n" : "") << std::flush;
+    };
+}
+
+Report play(const Incident& incident, const std::string& balancer, const std::string& log, bool quiet) {
+    VirtualOptions options;
+    options.balancer = balancer;
+    options.progress = progress_bar(quiet);
+    std::ofstream file;
+    if (!log.empty()) {
+        file.open(log);
+        if (!file) throw std::runtime_error(log + ": can't be written");
+        options.log = &file;
+    }
+    return run_virtual(incident, options);
+}
+
+int run(const RunOptions& o) {
+    const Incident incident = load(o.incident, o.seed);
+    const Report report = play(incident, o.balancer, o.log, o.quiet);
+    if (!o.json.empty()) write_file(o.json, json_of(report).dump(1) + "\n");
+    if (!o.html.empty()) write_file(o.html, page_of(report));
+    std::cout << text_of(report);
+    if (!o.html.empty()) std::cout << "  page: " << o.html << "\n";
+    return report.passed() ? kKept : kBroken;
+}
+
+int list() {
+    for (const Bundled& b : bundled()) {
+        const Incident incident = parse_incident(b.text, b.name + ".toml");
+        std::cout << b.name << std::string(b.name.size() < 28 ? 28 - b.name.size() : 1, ' ')
+                  << incident.overview.about << "\n";
+    }
+    return kKept;
+}
+
+int check(const std::string& which) {
+    const Incident incident = load(which, {});
+    std::cout << which << ": sound: " << incident.fleet.servers << " servers, " << incident.sidecars.count
+              << " sidecars, " << incident.faults.size() << " faults in " << incident.overview.length / 1000
+              << "s\n";
+    return kKept;
+}
+
+bool is_report(const std::string& name) { return name.ends_with(".json"); }
+bool is_balancer(const std::string& name) {
+    for (const BalancerName& b : balancer_names())
+        if (b.name == name) return true;
+    return false;
+}
+
+int compare(const std::string& a, const std::string& b, const std::string& incident_name,
+            std::optional<std::uint64_t> seed, bool quiet) {
+    std::optional<Incident> incident;
+    const auto get = [&](const std::string& which) {
+        if (is_report(which)) return report_from_json(read_file(which));
+        if (!is_balancer(which))
+            throw UseError("'" + which +
+                           "' is neither a balancer (`run --help` lists them) nor a .json report");
+        if (!incident) incident = load(incident_name, seed);
+        return play(*incident, which, "", quiet);
+    };
+    const Report first = get(a), second = get(b);
+    if (first.incident != second.incident || first.seed != second.seed)
+        throw UseError("the two are not of one incident and seed: " + first.incident + " and " +
+                       second.incident);
+    std::cout << comparison_of(first, second);
+    return first.passed() && second.passed() ? kKept : kBroken;
+}
+
+std::string balancer_help() {
+    std::string text = "Balancers (--balancer, in virtual time):\n";
+    for (const BalancerName& b : balancer_names())
+        text += "  " + b.name + std::string(18 - b.name.size(), ' ') + b.about +
+                (b.breaks.empty() ? "" : " [fails: " + b.breaks + "]") + "\n";
+    return text;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app{
+        "Plays an archive that fails on a script, and judges who balances it.\n"
+        "Exit: 0 rules and expectations kept, 1 not, 2 wrong use."};
+    app.require_subcommand(1);
+    app.set_version_flag("--version", ELMBAY_VERSION);
+
+    RunOptions o;
+    CLI::App* run_command = app.add_subcommand("run", "plays an incident and gives the verdict");
+    run_command->add_option("incident", o.incident, "a file, or a name from `list`")->capture_default_str();
+    run_command->add_option("--balancer", o.balancer, "who decides")->capture_default_str();
+    run_command->add_option("--seed", o.seed, "in place of the file's");
+    run_command->add_option("--json", o.json, "the report as JSON, to this file");
+    run_command->add_option("--html", o.html, "the report as one page, to this file");
+    run_command->add_option("--log", o.log, "every event, a line each, to this file");
+    run_command->add_flag("--quiet", o.quiet, "no progress");
+    run_command->footer(balancer_help());
+    CLI::App* list_command = app.add_subcommand("list", "the incidents that come along");
+    std::string checked;
+    CLI::App* check_command = app.add_subcommand("check", "whether a file is sound, without playing it");
+    check_command->add_option("incident", checked, "a file, or a name from `list`")->required();
+    CLI::App* keys_command = app.add_subcommand("keys", "every key of an incident file");
+    std::string a, b;
+    CLI::App* compare_command = app.add_subcommand("compare", "two balancers, or two reports, side by side");
+    compare_command->add_option("a", a, "a balancer, or a .json report")->required();
+    compare_command->add_option("b", b, "another")->required();
+    compare_command->add_option("--incident", o.incident, "a file, or a name from `list`")
+        ->capture_default_str();
+    compare_command->add_option("--seed", o.seed, "in place of the file's");
+    compare_command->add_flag("--quiet", o.quiet, "no progress");
+
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& error) {
+        return app.exit(error) == 0 ? kKept : kWrongUse;
+    }
+    try {
+        if (*list_command) return list();
+        if (*check_command) return check(checked);
+        if (*keys_command) {
+            std::cout << incident_manual();
+            return kKept;
+        }
+        if (*compare_command) return compare(a, b, o.incident, o.seed, o.quiet);
+        if (*run_command) return run(o);
+    } catch (const IncidentError& error) {
+        std::cerr << error.what();
+        return kWrongUse;
+    } catch (const UseError& error) {
+        std::cerr << "elmbay_rehearsal: " << error.what() << "\n";
+        return kWrongUse;
+    } catch (const std::invalid_argument& error) {
+        std::cerr << "elmbay_rehearsal: " << error.what() << "\n";
+        return kWrongUse;
+    } catch (const std::exception& error) {
+        std::cerr << "elmbay_rehearsal: " << error.what() << "\n";
+        return kBroken;
+    }
+    return kWrongUse;
+}
