A server that lets the client's time run out is removed, whichever timer comes first

Cause: found by the rehearsal (fault 'hollow': accepts and answers nothing). The module's timer for the client's deadline and the driver's for the attempt fall on the same moment; the module's was set first, so it withdrew the attempt, and what is withdrawn says nothing of a server. Ruled out: the panic threshold (nothing was ever out of the pool) and the window (it stayed empty).

Change: balance.cpp notes which attempts it withdraws because the client's time is up; their end counts as overdue.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -99,6 +99,7 @@
     std::uint32_t cell = 0;
     Millis sent_at = 0;
     bool out = true, may_have_run = true, trial = false, cold = false;
+    bool timed_out = false;  // we withdrew it because the client's time was up: its server was too slow
 };
 
 struct Request {
@@ -512,12 +513,15 @@
         judge(s, a, e.outcome, e.duration > r.kind.aim && !is_cold(s));
     }
 
-    void on(const AttemptEnded& e) {
+    void on(AttemptEnded e) {
         const auto it = requests.find(e.id);
         if (it == requests.end() || e.attempt >= it->second.attempts.size()) return;
         Request& r = it->second;
         Attempt& a = r.attempts[e.attempt];
         if (!a.out) return;
+        // Our own timer and the attempt's end fall on the same moment. Whichever comes first, a server that
+        // let the client's time run out has failed: else one that answers nothing is never found out.
+        if (a.timed_out && e.outcome == Outcome::recalled) e.outcome = Outcome::overdue;
         a.out = false;
         outstanding -= !a.cold;
         a.may_have_run = !proves_never_ran(e.outcome);
@@ -547,6 +551,7 @@
     // The only final answer: a refusal where that is true, else a failure.
     void finish(Request& r) {
         if (r.ended || r.streaming) return;
+        for (Attempt& a : r.attempts) a.timed_out = a.out && now >= r.deadline;
         cancel_all(r);
         if (may_refuse(r))
             act(Refuse{r.id, retry_in(r)});
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -409,5 +409,35 @@
     EXPECT_EQ(complaint([](Settings&) {}), "accepted");
 }
 
+// The module's own timer for the client's deadline may come before the driver's for the attempt: both are due
+// at the same moment. The server has failed either way.
+TEST(Removal, AServerThatLetsTheClientsTimeRunOutIsRemovedThoughWeWithdrewItFirst) {
+    Rig rig(make_settings());
+    rig.list(ListKind::full, make_servers(4));
+    // Whenever it is drawn the one is to be asked: the others have their hands full.
+    for (int i = 0; i < 40; ++i) {
+        const RequestId id = rig.request(0, 1e6);
+        if (rig.where(id) == 1) rig.end(id, Outcome::completed, 0);
+    }
+    for (int i = 0; i < 100 && rig.removals() == 0; ++i) {
+        const RequestId id = rig.request(0, 500);
+        if (rig.where(id) != 1) {  // it was not among the two drawn
+            rig.end(id, Outcome::completed, 0);
+            continue;
+        }
+        rig.now += 500;
+        int withdrawn = 0;
+        while (!rig.timers.empty() && rig.timers.begin()->first <= rig.now) {
+            const TimerToken token = rig.timers.begin()->second;
+            rig.timers.erase(rig.timers.begin());
+            rig.give(TimerFired{token});
+            withdrawn += rig.count<Cancel>();
+        }
+        ASSERT_EQ(withdrawn, 1);
+        rig.end(id, Outcome::recalled, 0);
+    }
+    EXPECT_EQ(rig.removals(), 1);
+}
+
 }  // namespace
 }  // namespace hollybeam::test
--- a/tests/rehearsal/virtual_test.cpp
+++ b/tests/rehearsal/virtual_test.cpp
@@ -137,6 +137,21 @@
     EXPECT_GT(left, report.requests / 4);
 }
 
+// A server that takes all and answers nothing costs the requests that are with it, and soon gets no more.
+TEST(Virtual, AServerThatAcceptsAndServesNoneIsFoundOut) {
+    const Incident incident = parse_incident(
+        "length = \"20s\"\n[fleet]\nservers = 8\n[callers]\nrate = 200\n"
+        "[[fault]]\nkind = \"hollow\"\nat = \"2s\"\nwho = \"s-3\"\n",
+        "f");
+    const Report report = run_virtual(incident, {});
+    EXPECT_TRUE(report.rules_kept()) << text_of(report);
+    double before = 0, after = 0;
+    for (std::size_t s = 0; s < 2; ++s) before += report.service.servers[3][s].work / 2;
+    for (std::size_t s = 12; s < 20 && s < report.service.servers[3].size(); ++s)
+        after += report.service.servers[3][s].work / 8;
+    EXPECT_LT(after, before / 4);
+}
+
 TEST(Virtual, AThousandSidecarsPlayToo) {
     Incident incident = parse_incident(
         "length = \"3s\"\n[fleet]\nservers = 60\n[callers]\nrate = 1000\n[sidecars]\ncount = 1000\n"
