The engine out of net/sidecar.cpp: request table and one outcome each, for any front

Need: WebSocket is to be a second front and an RPC plug-in a third; the guarantee of one outcome stood fused with HTTP.

Change: src/engine keeps the table, gives the module its events and carries its actions to a Port; no socket, protocol or clock. net/sidecar.cpp is the Port for HTTP and servers and keeps messages until forget().

--- /dev/null
+++ b/src/engine/engine.cpp
@@ -0,0 +1,112 @@
+#include "engine/engine.hpp"
+
+#include <memory>
+#include <vector>
+
+namespace elmbay::engine {
+
+using namespace hollybeam;
+
+namespace {
+
+template <class... Ts>
+struct Overloaded : Ts... {
+    using Ts::operator()...;
+};
+template <class... Ts>
+Overloaded(Ts...) -> Overloaded<Ts...>;
+
+}  // namespace
+
+Engine::Engine(Settings settings, std::uint64_t seed, Port& port)
+    : port_(port), balancer_(std::move(settings), seed) {}
+
+void Engine::begin(Millis now) { give(now, Started{}); }
+
+void Engine::take(Millis now, const RequestArrived& request) {
+    if (requests_.try_emplace(request.id).second) give(now, request);
+}
+
+void Engine::client_gone(Millis now, RequestId id) {
+    const auto at = requests_.find(id);
+    if (at == requests_.end() || at->second.over) return;
+    at->second.over = true;
+    give(now, ClientGone{id});
+    settle(id);
+}
+
+void Engine::attempt_ended(Millis now, AttemptKey key, Outcome outcome, Millis duration) {
+    const auto at = requests_.find(key.request);
+    if (at == requests_.end()) return;
+    Request& r = at->second;
+    --r.out;
+    r.last = outcome;
+    if (outcome == Outcome::completed) finish(key.request, {Final::Kind::served});
+    give(now, AttemptEnded{key.request, key.number, outcome, duration, r.over});
+    settle(key.request);
+}
+
+void Engine::listed(Millis now, ServerList list) { give(now, std::move(list)); }
+
+void Engine::timer_fired(Millis now, TimerToken token) { give(now, TimerFired{token}); }
+
+void Engine::give(Millis now, Event event) {
+    events_.push_back({now, std::move(event)});
+    if (handling_) return;  // an action brought it about: it comes after this event's other actions
+    handling_ = true;
+    // Should anything throw on the way, later events must still be handled.
+    const std::unique_ptr<bool, void (*)(bool*)> handled(&handling_, [](bool* flag) { *flag = false; });
+    std::vector<Action> actions;
+    while (!events_.empty()) {
+        const Pending next = std::move(events_.front());
+        events_.pop_front();
+        actions.clear();
+        balancer_.handle(next.now, next.event, actions);
+        for (const Action& action : actions) run(action);
+    }
+}
+
+void Engine::run(const Action& action) {
+    std::visit(Overloaded{[this](const Send& a) {
+                              const auto at = requests_.find(a.id);
+                              if (at == requests_.end()) return;
+                              ++at->second.out;
+                              port_.start({a.id, at->second.sent++}, a.server, a.try_until);
+                          },
+                          [this](const Cancel& a) {
+                              port_.cancel({a.id, a.attempt});
+                          },
+                          [this](const Refuse& a) {
+                              finish(a.id, {Final::Kind::refused, a.retry_in});
+                              settle(a.id);
+                          },
+                          [this](const GiveUp& a) {
+                              const auto at = requests_.find(a.id);
+                              const bool timed_out =
+                                  at != requests_.end() &&
+                                  (at->second.out > 0 || at->second.last == Outcome::overdue);
+                              finish(a.id, {Final::Kind::failed, 0, timed_out});
+                              settle(a.id);
+                          },
+                          [this](const SetTimer& a) { port_.set_timer(a.at, a.token); },
+                          [this](const Subscribe& a) { port_.subscribe(a.active); }, [](const Log&) {}},
+               action);
+}
+
+// The only way to the caller: the first outcome is the final one.
+void Engine::finish(RequestId id, const Final& outcome) {
+    const auto at = requests_.find(id);
+    if (at == requests_.end() || at->second.over) return;
+    at->second.over = true;
+    port_.finish(id, outcome);
+}
+
+// What has its outcome and nothing out leaves no trace.
+void Engine::settle(RequestId id) {
+    const auto at = requests_.find(id);
+    if (at == requests_.end() || !at->second.over || at->second.out > 0) return;
+    requests_.erase(at);
+    port_.forget(id);
+}
+
+}  // namespace elmbay::engine
--- /dev/null
+++ b/src/engine/engine.hpp
@@ -0,0 +1,110 @@
+// The engine: the one place where fronts (what callers speak) meet the decision module.
+//
+// It keeps the table of requests, gives the module its events in order and carries its actions to a Port. It
+// knows no socket, no protocol and no clock: the caller gives `now` (milliseconds, never going back) with
+// every call, and timers are the Port's. What it guarantees, whatever front or back it serves:
+//
+//  - a request that was taken gets exactly one final outcome, and none after its caller has gone;
+//  - an attempt starts only on the module's word, and each start() is answered by one attempt_ended();
+//  - nothing is left of a request once it has its outcome and no attempt of it is out.
+//
+// Calls from within the Port's functions are allowed: what they bring about is handled after the other
+// actions of the event at hand, in order.
+//
+// Not thread-safe: one thread at a time. A process with many threads puts one Engine behind one executor and
+// posts to it (see docs/design/engine.md).
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <unordered_map>
+
+#include "hollybeam/balancer.hpp"
+
+namespace elmbay::engine {
+
+using hollybeam::Millis;
+using hollybeam::Outcome;
+using hollybeam::RequestId;
+using hollybeam::ServerId;
+
+// One attempt: number of a request, counted from 0 in the order in which they start.
+struct AttemptKey {
+    RequestId request = 0;
+    std::uint32_t number = 0;
+    auto operator<=>(const AttemptKey&) const = default;
+};
+
+// How a request ended, for its caller.
+struct Final {
+    enum class Kind {
+        served,   // the completed attempt's answer is the caller's
+        refused,  // trying again is harmless
+        failed    // promises nothing
+    };
+    Kind kind = Kind::failed;
+    Millis retry_in = 0;     // refused: when to come back; 0: no advice
+    bool timed_out = false;  // failed: nothing came in time, rather than a wrong thing
+};
+
+// Where the engine's actions go. It must outlive the engine.
+class Port {
+public:
+    virtual ~Port() = default;
+    // Begins an attempt, to end as overdue at `until` at the latest. Its end is told by attempt_ended(),
+    // never from within this call.
+    virtual void start(AttemptKey key, ServerId server, Millis until) = 0;
+    // Withdraws one that is out; it ends as recalled, or as what it was about to end as.
+    virtual void cancel(AttemptKey key) = 0;
+    // The request's one final outcome. Not called for one whose caller has gone.
+    virtual void finish(RequestId id, const Final& outcome) = 0;
+    // Nothing is left of the request here: what the front keeps for its attempts can go.
+    virtual void forget(RequestId id) = 0;
+    virtual void set_timer(Millis at, hollybeam::TimerToken token) = 0;
+    virtual void subscribe(bool active) = 0;
+};
+
+class Engine {
+public:
+    // Throws std::invalid_argument for settings that make no sense.
+    Engine(hollybeam::Settings settings, std::uint64_t seed, Port& port);
+    Engine(const Engine&) = delete;
+    Engine& operator=(const Engine&) = delete;
+
+    // The first call.
+    void begin(Millis now);
+    // A request has been taken. Its id must be new; one that is in the table already is left as it is.
+    void take(Millis now, const hollybeam::RequestArrived& request);
+    // Its caller no longer waits. Unknown or finished ones are nothing new.
+    void client_gone(Millis now, RequestId id);
+    void attempt_ended(Millis now, AttemptKey key, Outcome outcome, Millis duration);
+    void listed(Millis now, hollybeam::ServerList list);
+    void timer_fired(Millis now, hollybeam::TimerToken token);
+
+    // Requests in the table: those without an outcome, and those with attempts still out.
+    std::size_t requests() const { return requests_.size(); }
+
+private:
+    struct Request {
+        std::uint32_t sent = 0, out = 0;  // attempts
+        bool over = false;                // it has its final outcome, or its caller has gone
+        Outcome last = Outcome::superseded;
+    };
+
+    void give(Millis now, hollybeam::Event event);
+    void run(const hollybeam::Action& action);
+    void finish(RequestId id, const Final& outcome);
+    void settle(RequestId id);
+
+    Port& port_;
+    hollybeam::Balancer balancer_;
+    std::unordered_map<RequestId, Request> requests_;
+    struct Pending {
+        Millis now;
+        hollybeam::Event event;
+    };
+    std::deque<Pending> events_;  // in order; an action may bring about the next
+    bool handling_ = false;
+};
+
+}  // namespace elmbay::engine
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -30,20 +30,13 @@
     return std::max<std::size_t>(configured, kOwnDescriptors + 8) - kOwnDescriptors;
 }
 
-template <class... Ts>
-struct Overloaded : Ts... {
-    using Ts::operator()...;
-};
-template <class... Ts>
-Overloaded(Ts...) -> Overloaded<Ts...>;
-
 }  // namespace
 
 Sidecar::Sidecar(asio::io_context& io, Config config)
     : config_(std::move(config)),
       timers_(io, clock_),
       budget_(socket_limit(config_.sockets)),
-      balancer_(config_.site.settings, config_.seed),
+      engine_(config_.site.settings, config_.seed, *this),
       upstream_(io, budget_, timers_, clock_, {config_.site.connect_timeout, config_.site.idle_close},
                 [this](AttemptKey key, Outcome outcome, Millis duration, HttpResponse response) {
                     attempt_ended(key, outcome, duration, std::move(response));
@@ -55,13 +48,14 @@
                   },
                   // Where lists are pushed the watch comes back by itself; else the module says when.
                   [this] {
-                      if (config_.site.settings.list_on_request) give(ServerList{ListKind::failed, {}});
+                      if (config_.site.settings.list_on_request)
+                          engine_.listed(clock_.now(), {ListKind::failed, {}});
                   }}),
       listener_(io, config_.listen, budget_, timers_, clock_,
                 {[this](const RequestHead& head) { return problem_of(head, config_.site); },
                  [this](RequestId id, HttpRequest request) { arrived(id, std::move(request)); },
                  [this](RequestId id) { gone(id); }, [this] { return ready_; }}) {
-    give(Started{});
+    engine_.begin(clock_.now());
     listed(ListKind::saved, std::exchange(config_.known, {}));
     if (!config_.site.settings.list_on_request) discovery_.watch();
 }
@@ -77,33 +71,18 @@
 
 void Sidecar::arrived(RequestId id, HttpRequest request) {
     const RequestArrived event = describe(id, request, config_.site, kAnswerMargin);
-    requests_[id].message = std::make_shared<const HttpRequest>(for_server(std::move(request)));
-    give(event);
+    messages_[id] = std::make_shared<const HttpRequest>(for_server(std::move(request)));
+    engine_.take(clock_.now(), event);
 }
 
-void Sidecar::gone(RequestId id) {
-    const auto at = requests_.find(id);
-    if (at == requests_.end() || at->second.over) return;
-    at->second.over = true;
-    give(ClientGone{id});
-    settle(id);
-}
+void Sidecar::gone(RequestId id) { engine_.client_gone(clock_.now(), id); }
 
 void Sidecar::attempt_ended(AttemptKey key, Outcome outcome, Millis duration, HttpResponse response) {
-    const auto at = requests_.find(key.request);
-    if (at == requests_.end()) return;
-    Request& r = at->second;
-    --r.out;
-    r.last = outcome;
-    if (outcome == Outcome::completed && !r.over) {
-        HttpResponse served(http::status::ok, 11);
-        if (const auto type = response[http::field::content_type]; !type.empty())
-            served.set(http::field::content_type, type);
-        served.body() = std::move(response.body());
-        answer(key.request, std::move(served));
-    }
-    give(AttemptEnded{key.request, key.number, outcome, duration, r.over});
-    settle(key.request);
+    // Told from within another's end where that one brought it about: each has its own answer.
+    const auto restore = [this](HttpResponse** outer) { ended_ = *outer; };
+    HttpResponse* outer = std::exchange(ended_, &response);
+    const std::unique_ptr<HttpResponse*, decltype(restore)> guard(&outer, restore);
+    engine_.attempt_ended(clock_.now(), key, outcome, duration);
 }
 
 // One address, one process. The list may tell of a new server there before it tells that the old one has
@@ -155,7 +134,7 @@
     }
     for (const auto& [uid, known] : servers_)
         if (!known.listed) upstream_.set_server(known.id, {}, false);
-    give(std::move(list));
+    engine_.listed(clock_.now(), std::move(list));
     std::erase_if(servers_, [this](const auto& entry) {
         if (entry.second.listed || upstream_.attempts_at(entry.second.id) > 0) return false;
         upstream_.forget_server(entry.second.id);
@@ -163,76 +142,42 @@
     });
 }
 
-// ---- The module -------------------------------------------------------------------------------------------
-
-void Sidecar::give(Event event) {
-    events_.push_back(std::move(event));
-    if (handling_) return;  // an action brought it about: it comes after this event's other actions
-    handling_ = true;
-    // Should anything throw on the way, later events must still be handled.
-    const std::unique_ptr<bool, void (*)(bool*)> handled(&handling_, [](bool* flag) { *flag = false; });
-    std::vector<Action> actions;
-    while (!events_.empty()) {
-        const Event next = std::move(events_.front());
-        events_.pop_front();
-        actions.clear();
-        balancer_.handle(clock_.now(), next, actions);
-        for (const Action& action : actions) run(action);
-    }
-}
+// ---- What the engine wants done ---------------------------------------------------------------------------
 
-void Sidecar::run(const Action& action) {
-    std::visit(
-        Overloaded{[this](const Send& a) {
-                       const auto at = requests_.find(a.id);
-                       if (at == requests_.end()) return;
-                       ++at->second.out;
-                       upstream_.start({a.id, at->second.sent++}, a.server, a.try_until, at->second.message);
-                   },
-                   [this](const Cancel& a) {
-                       upstream_.cancel({a.id, a.attempt});
-                   },
-                   [this](const Refuse& a) {
-                       HttpResponse response(http::status::service_unavailable, 11);
-                       if (a.retry_in > 0) {
-                           char seconds[32];
-                           std::snprintf(seconds, sizeof seconds, "%.3f", a.retry_in / 1000);
-                           response.set(http::field::retry_after, seconds);
-                       }
-                       response.body() = "refused: trying again is harmless\n";
-                       answer(a.id, std::move(response));
-                       settle(a.id);
-                   },
-                   [this](const GiveUp& a) {
-                       const auto at = requests_.find(a.id);
-                       const bool timed_out = at != requests_.end() &&
-                                              (at->second.out > 0 || at->second.last == Outcome::overdue);
-                       HttpResponse response(
-                           timed_out ? http::status::gateway_timeout : http::status::bad_gateway, 11);
-                       response.body() = "failed\n";
-                       answer(a.id, std::move(response));
-                       settle(a.id);
-                   },
-                   [this](const SetTimer& a) {
-                       timers_.set(a.at, [this, token = a.token] { give(TimerFired{token}); });
-                   },
-                   [this](const Subscribe& a) { a.active ? discovery_.watch() : discovery_.stop(); },
-                   [](const Log&) {}},
-        action);
+void Sidecar::start(AttemptKey key, ServerId server, Millis until) {
+    upstream_.start(key, server, until, messages_.at(key.request));
 }
 
-// The only way to the client: the first answer is the final one.
-void Sidecar::answer(RequestId id, HttpResponse response) {
-    const auto at = requests_.find(id);
-    if (at == requests_.end() || at->second.over) return;
-    at->second.over = true;
+void Sidecar::cancel(AttemptKey key) { upstream_.cancel(key); }
+
+void Sidecar::finish(RequestId id, const engine::Final& outcome) {
+    using Kind = engine::Final::Kind;
+    HttpResponse response(http::status::ok, 11);
+    if (outcome.kind == Kind::served) {
+        if (const auto type = (*ended_)[http::field::content_type]; !type.empty())
+            response.set(http::field::content_type, type);
+        response.body() = std::move(ended_->body());
+    } else if (outcome.kind == Kind::refused) {
+        response.result(http::status::service_unavailable);
+        if (outcome.retry_in > 0) {
+            char seconds[32];
+            std::snprintf(seconds, sizeof seconds, "%.3f", outcome.retry_in / 1000);
+            response.set(http::field::retry_after, seconds);
+        }
+        response.body() = "refused: trying again is harmless\n";
+    } else {
+        response.result(outcome.timed_out ? http::status::gateway_timeout : http::status::bad_gateway);
+        response.body() = "failed\n";
+    }
     listener_.answer(id, std::move(response));
 }
 
-// What has its answer and nothing out leaves no trace.
-void Sidecar::settle(RequestId id) {
-    const auto at = requests_.find(id);
-    if (at != requests_.end() && at->second.over && at->second.out == 0) requests_.erase(at);
+void Sidecar::forget(RequestId id) { messages_.erase(id); }
+
+void Sidecar::set_timer(Millis at, TimerToken token) {
+    timers_.set(at, [this, token] { engine_.timer_fired(clock_.now(), token); });
 }
 
+void Sidecar::subscribe(bool active) { active ? discovery_.watch() : discovery_.stop(); }
+
 }  // namespace elmbay
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -1,15 +1,14 @@
-// The real driver of the decision module: turns what happens on sockets into events and actions into calls on
-// them. It chooses no server, repeats nothing and refuses nothing by itself.
+// The real driver: puts the engine between the HTTP front (listener), the servers (upstream) and the list
+// (discovery), and gives it the clock. It chooses no server, repeats nothing and refuses nothing by itself.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <deque>
 #include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
 
-#include "hollybeam/balancer.hpp"
+#include "engine/engine.hpp"
 #include "net/config.hpp"
 #include "net/discovery.hpp"
 #include "net/intake.hpp"
@@ -20,7 +19,7 @@
 
 namespace elmbay {
 
-class Sidecar {
+class Sidecar : private engine::Port {
 public:
     // Throws boost::system::system_error if it can't listen, std::invalid_argument for settings that make no
     // sense.
@@ -35,15 +34,9 @@
     void drain(std::function<void()> done);
 
     Endpoint local_endpoint() const { return listener_.local_endpoint(); }
-    std::size_t requests() const { return requests_.size(); }
+    std::size_t requests() const { return engine_.requests(); }
 
 private:
-    struct Request {
-        std::shared_ptr<const HttpRequest> message;
-        std::uint32_t sent = 0, out = 0;  // attempts
-        bool over = false;                // it has its final answer, or its client has gone
-        Outcome last = Outcome::superseded;
-    };
     struct Known {
         ServerId id = 0;
         bool listed = false;
@@ -59,22 +52,24 @@
     void displace(const Target& t, Known& arrived, hollybeam::ServerList& list);
     static std::uint32_t name_number(std::vector<std::string>& names, const std::string& name);
 
-    void give(hollybeam::Event event);
-    void run(const hollybeam::Action& action);
-    void answer(RequestId id, HttpResponse response);
-    void settle(RequestId id);
+    // What the engine wants done.
+    void start(AttemptKey key, ServerId server, Millis until) override;
+    void cancel(AttemptKey key) override;
+    void finish(RequestId id, const engine::Final& outcome) override;
+    void forget(RequestId id) override;
+    void set_timer(Millis at, hollybeam::TimerToken token) override;
+    void subscribe(bool active) override;
 
     Clock clock_;
     Config config_;
     TimerQueue timers_;
     SocketBudget budget_;
-    hollybeam::Balancer balancer_;
-    std::unordered_map<RequestId, Request> requests_;
+    engine::Engine engine_;
+    std::unordered_map<RequestId, std::shared_ptr<const HttpRequest>> messages_;  // while the engine has them
+    HttpResponse* ended_ = nullptr;         // the answer of the attempt whose end is being told
     std::map<std::string, Known> servers_;  // by uid
     ServerId next_server_ = 1;
     bool ready_ = false;
-    std::deque<hollybeam::Event> events_;  // in order; an action may bring about the next
-    bool handling_ = false;
     Upstream upstream_;
     Discovery discovery_;
     Listener listener_;
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 
+#include "engine/engine.hpp"
 #include "net/config.hpp"
 #include "net/message.hpp"
 #include "net/sockets.hpp"
@@ -19,12 +20,7 @@
 using hollybeam::RequestId;
 using hollybeam::ServerId;
 
-// One attempt: number of a request.
-struct AttemptKey {
-    RequestId request = 0;
-    std::uint32_t number = 0;
-    auto operator<=>(const AttemptKey&) const = default;
-};
+using engine::AttemptKey;
 
 class Upstream {
 public:
