Judge: nothing may go out after a caller has gone; two tests that did not bite

Need: breaking the code on purpose showed two tests that passed without it. A caller that leaves excused all that followed, and erasing running work on a cancel went unnoticed.

Change: the judge counts an attempt after the caller has gone as a breach of the first rule; the model test looks at what the server still holds.

--- a/src/rehearsal/judge.cpp
+++ b/src/rehearsal/judge.cpp
@@ -69,7 +69,7 @@
     if (at == tries_.end()) return;
     Record& r = at->second;
     if (!r.open) {
-        if (!r.excused) broken(Rule::one_outcome, now, id, "a second final answer");
+        if (!r.excused && !r.gone) broken(Rule::one_outcome, now, id, "a second final answer");
         return;
     }
     r.open = false;
@@ -91,11 +91,12 @@
     if (answer != Answer::served && !out && now - r.last_over > c.aim * kPromptShare + slack_) ++held_back_;
 }
 
-void Judge::left(Millis, TryId id) {
+void Judge::left(Millis now, TryId id) {
     const auto at = tries_.find(id);
     if (at == tries_.end()) return;
     at->second.open = false;
-    at->second.excused = true;
+    at->second.gone = true;
+    at->second.ended = now;
 }
 
 void Judge::closed(Millis now, TryId id) {
@@ -164,7 +165,9 @@
     ++attempts_;
     check_twice(now, id, r, server);
     if (!r.open && !r.excused && now > r.ended + slack_)
-        broken(Rule::one_outcome, now, id, "sent to a server after its final answer");
+        broken(Rule::one_outcome, now, id,
+               r.gone ? "sent to a server after its caller had gone"
+                      : "sent to a server after its final answer");
     for (std::uint32_t i = 0; i < r.attempts.size(); ++i)
         if (r.attempts[i].out) suspects_.push_back({id, i, now});
     if (const auto t = told_.find({sidecar, server});
--- a/src/rehearsal/judge.hpp
+++ b/src/rehearsal/judge.hpp
@@ -93,6 +93,7 @@
         Millis deadline = 0, last_over = 0, ended = 0;
         std::uint32_t sidecar = 0;
         bool open = true, excused = false;
+        bool gone = false;  // its caller went away
         std::vector<Attempt> attempts;
         const Attempt* first_possible_run() const;
     };
--- a/tests/rehearsal/judge_test.cpp
+++ b/tests/rehearsal/judge_test.cpp
@@ -69,6 +69,15 @@
     EXPECT_TRUE(c.judge.kept());
 }
 
+TEST(Judge, WhatGoesOutAfterTheCallerHasGoneIsSeen) {
+    Court c;
+    const TryId id = c.ask(0);
+    c.judge.over(5, id, c.send(id, 1));
+    c.judge.left(10, id);
+    c.send(id, 11, 2);
+    EXPECT_EQ(c.broken(Rule::one_outcome), 1U);
+}
+
 TEST(Judge, AConnectionClosedWithNothingIsLostOnlyOnceSomethingWasSentOn) {
     Court c;
     c.judge.closed(10, c.ask(0));
--- a/tests/rehearsal/server_model_test.cpp
+++ b/tests/rehearsal/server_model_test.cpp
@@ -179,6 +179,9 @@
         for (Ticket t = 1; t <= 3; ++t) server.arrive(0, t, 100, false, out);
         server.abandon(10, 1, out);  // in work: goes on
         server.abandon(10, 2, out);  // waiting
+        EXPECT_TRUE(server.holds(1));
+        EXPECT_EQ(server.holds(2), !drops);
+        EXPECT_EQ(server.waiting(), drops ? 1U : 2U);
         run_to(server, 150, out);
         EXPECT_TRUE(out.empty());
         run_to(server, drops ? 200.1 : 300.1, out);
--- a/tests/rehearsal/virtual_test.cpp
+++ b/tests/rehearsal/virtual_test.cpp
@@ -128,7 +128,9 @@
 TEST(Virtual, CallersGoneWhileTheirAttemptsWaitBreakNothing) {
     const Incident incident = parse_incident(
         "length = \"5s\"\n[callers]\nrate = 200\nimpatient = 1\n[fleet]\nservers = 3\n"
-        "[[fault]]\nkind = \"freeze\"\nat = \"1s\"\nwho = \"all\"\npause = \"800ms\"\nevery = \"1s\"\n",
+        "[[fault]]\nkind = \"freeze\"\nat = \"1s\"\nwho = \"all\"\npause = \"900ms\"\nevery = \"1s\"\n"
+        "[[fault]]\nkind = \"die\"\nat = \"1.8s\"\nlasts = \"400ms\"\nwho = [\"s-0\", \"s-1\"]\n"
+        "[[fault]]\nkind = \"die\"\nat = \"3.8s\"\nlasts = \"400ms\"\nwho = [\"s-1\", \"s-2\"]\n",
         "f");
     const Report report = run_virtual(incident, {});
     EXPECT_TRUE(report.rules_kept()) << text_of(report);
