The decision module as a folder of classes, each with its contract; no decision changed

Need: one struct of 500 lines held ejection, cold starts, aperture, admission, retry budget, fairness, pick and the request's life; sessions, reasons and knowledge kept over a restart all have to go in there next.

What all use is in src/base, the simulator's wire and adapter in src/simulator, tests beside them. A request or an answer no longer costs anything linear in the fleet: the count of listed servers, the windows' sums of the pool and the list of those out are kept, the draw stops at the pool's width, pick reuses its memory.

--- a/src/settings.cpp
+++ b/src/base/settings.cpp
@@ -1,4 +1,4 @@
-#include "settings.hpp"
+#include "base/settings.hpp"
 
 #include <cmath>
 #include <stdexcept>
--- a/src/site.cpp
+++ b/src/base/site.cpp
@@ -1,4 +1,4 @@
-#include "site.hpp"
+#include "base/site.hpp"
 
 #include <algorithm>
 #include <charconv>
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -3,7 +3,7 @@
 #include <memory>
 #include <vector>
 
-#include "overloaded.hpp"
+#include "base/overloaded.hpp"
 
 namespace elmbay::engine {
 
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "site.hpp"
+#include "base/site.hpp"
 
 namespace elmbay {
 
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -6,9 +6,9 @@
 #include <memory>
 #include <random>
 
+#include "base/sockets.hpp"
+#include "base/timing.hpp"
 #include "net/config.hpp"
-#include "net/sockets.hpp"
-#include "net/timing.hpp"
 
 namespace elmbay {
 
--- a/src/net/intake.hpp
+++ b/src/net/intake.hpp
@@ -4,8 +4,8 @@
 
 #include <optional>
 
+#include "base/site.hpp"
 #include "net/message.hpp"
-#include "site.hpp"
 
 namespace elmbay {
 
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -11,11 +11,11 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "base/sockets.hpp"
+#include "base/timing.hpp"
 #include "net/config.hpp"
 #include "net/intake.hpp"
 #include "net/message.hpp"
-#include "net/sockets.hpp"
-#include "net/timing.hpp"
 
 namespace elmbay {
 
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -8,13 +8,13 @@
 #include <string>
 #include <unordered_map>
 
+#include "base/sockets.hpp"
+#include "base/timing.hpp"
 #include "engine/engine.hpp"
 #include "net/config.hpp"
 #include "net/discovery.hpp"
 #include "net/intake.hpp"
 #include "net/listener.hpp"
-#include "net/sockets.hpp"
-#include "net/timing.hpp"
 #include "net/upstream.hpp"
 
 namespace elmbay {
--- /dev/null
+++ b/src/policy/aperture.cpp
@@ -0,0 +1,48 @@
+#include "policy/aperture.hpp"
+
+namespace hollybeam {
+
+namespace {
+
+bool by_rank(const Server* a, const Server* b) { return a->rank < b->rank; }
+
+}  // namespace
+
+void Aperture::set_servers(std::vector<Server*> all) {
+    ranked_ = std::move(all);
+    std::sort(ranked_.begin(), ranked_.end(), by_rank);
+    pool_.clear();
+    out_.clear();
+    listed_ = 0;
+    for (Server* s : ranked_) {
+        s->in_pool = false;
+        listed_ += s->listed;
+        if (s->open() && s->standing != Standing::live) out_.push_back(s);
+    }
+}
+
+void Aperture::set_out(Server* s, bool out) {
+    const auto at = std::lower_bound(out_.begin(), out_.end(), s, by_rank);
+    const bool there = at != out_.end() && *at == s;
+    if (out && !there && s->open()) out_.insert(at, s);
+    if (!out && there) out_.erase(at);
+}
+
+void Aperture::draw(Millis now, int outstanding) {
+    const double seen = kSeen * static_cast<double>(ranked_.size()) / siblings_;
+    const double filled = carried_rate(now) * OutlierEjection::kBackoff / Window::kSize;
+    width_ = std::max({kNarrow, seen, filled, 2.0 * outstanding});
+    for (Server* s : pool_) s->in_pool = false;
+    pool_.clear();
+    warm_ = 0;
+    until_ = now + kPoolAge;
+    for (Server* s : ranked_) {
+        if (static_cast<double>(warm_) >= width_) break;
+        if (!s->open() || s->standing != Standing::live) continue;
+        pool_.push_back(s);
+        s->in_pool = true;
+        warm_ += !cold_->is_cold(*s, now);
+    }
+}
+
+}  // namespace hollybeam
--- /dev/null
+++ b/src/policy/aperture.hpp
@@ -0,0 +1,66 @@
+// Aperture (Finagle): how many of the servers this sidecar keeps to, and which.
+//
+// Light clients: spread over the whole fleet, a few requests a second never fill a window, never show a queue
+// and open a connection each. So a sidecar keeps to the servers of lowest rank (drawn by chance once for each
+// server, so that sidecars differ), replaces one that leaves the pool by the next, and adds cold ones on top,
+// as they can take only a part of their share.
+#pragma once
+
+#include <algorithm>
+#include <vector>
+
+#include "policy/cold_start.hpp"
+#include "policy/ejection.hpp"
+
+namespace hollybeam {
+
+class Aperture {
+public:
+    // Never fewer warm servers than kNarrow, two to choose from when two are lost, and so many that each is
+    // in the sight of kSeen sidecars.
+    static constexpr double kNarrow = 4, kSeen = 16;
+    static constexpr Millis kPoolAge = 1000;     // the pool is drawn anew after this at the latest
+    static constexpr Millis kRateMemory = 5000;  // of what servers complete: long against gaps, short
+                                                 // against a warm-up
+
+    Aperture(std::uint32_t siblings, const ColdStart& cold)
+        : siblings_(std::max(1U, siblings)), cold_(&cold) {}
+
+    // The list has changed: all servers there are, in any order. Linear in the fleet; nothing else here is.
+    void set_servers(std::vector<Server*> all);
+    // One that is no longer listed is gone for good.
+    void remove(Server* s) { std::erase(ranked_, s); }
+    // A verdict has taken it out of the pool or put it back: draw() comes next.
+    void set_out(Server* s, bool out);
+
+    // A warm server has completed a request.
+    void completed(Millis now) { carried_.add(now, kRateMemory); }
+    double carried_rate(Millis now) const { return carried_.left(now, kRateMemory) / kRateMemory; }  // a ms
+
+    bool stale(Millis now, int outstanding) const { return now >= until_ || outstanding > width_; }
+    // outstanding: attempts at warm servers.
+    void draw(Millis now, int outstanding);
+
+    const std::vector<Server*>& pool() const { return pool_; }  // live servers, cold ones on top
+    const std::vector<Server*>& out() const { return out_; }    // removed, or on trial
+    std::size_t listed() const { return listed_; }
+    std::size_t warm() const { return warm_; }  // of the pool
+    std::size_t servers() const { return ranked_.size(); }
+    bool narrow() const { return width_ < static_cast<double>(ranked_.size()); }
+    // Sidecars that have one server in their pool.
+    double sight() const {
+        return siblings_ * width_ / std::max<double>(1, static_cast<double>(ranked_.size()));
+    }
+
+private:
+    double siblings_;
+    const ColdStart* cold_;
+    Tally carried_;
+    std::vector<Server*> ranked_;  // by rank
+    std::vector<Server*> pool_, out_;
+    std::size_t warm_ = 0, listed_ = 0;
+    double width_ = 0;  // how many warm ones there should be
+    Millis until_ = 0;  // when the pool has to be drawn anew
+};
+
+}  // namespace hollybeam
--- /dev/null
+++ b/src/policy/balancer.cpp
@@ -0,0 +1,341 @@
+// The Balancer: takes every event, asks the parts that decide, and gives every action. The interface is
+// include/hollybeam/balancer.hpp.
+//
+// The path of a request: on(RequestArrived) takes it and sets its timer; place() looks for room (Admission)
+// and a server: one whose trial is due (OutlierEjection), else one of the pool (Aperture) by Pick; dispatch()
+// sends it, to run to the client's deadline at the longest. If nobody may have it now it is held briefly.
+// on(AttemptEnded) books the outcome and places the request again or answers it. finish() is the only final
+// answer, may_send() and Request::may_refuse() the only gates: no send and no refusal leaves this file
+// without passing them, so whatever is added cannot break a rule.
+#include "hollybeam/balancer.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <unordered_map>
+
+#include "base/random.hpp"
+#include "base/settings.hpp"
+#include "policy/admission.hpp"
+#include "policy/aperture.hpp"
+#include "policy/cold_start.hpp"
+#include "policy/ejection.hpp"
+#include "policy/fairness.hpp"
+#include "policy/pace.hpp"
+#include "policy/pick.hpp"
+#include "policy/request.hpp"
+#include "policy/retry_budget.hpp"
+
+namespace hollybeam {
+
+namespace {
+
+constexpr double kHold = 1.0 / 16;     // of the aim: what cannot go out by then had better be tried anew
+constexpr Millis kResubscribe = 1000;  // first wait after a failed call for the list; doubles up to 8 of it
+
+bool proves_never_ran(Outcome o) {
+    return o == Outcome::saturated || o == Outcome::refused_connection || o == Outcome::superseded;
+}
+
+Settings checked(Settings settings) {
+    validate(settings);
+    return settings;
+}
+
+}  // namespace
+
+struct Balancer::Impl {
+    Impl(Settings s, std::uint64_t seed) : settings(checked(std::move(s))), random(seed) {}
+
+    Settings settings;
+    Random random;
+    ColdStart cold{settings};
+    Aperture aperture{settings.siblings, cold};
+    OutlierEjection ejection;
+    Pace pace;
+    Admission admission{settings};
+    Fairness fairness{settings.tenants};
+    RetryBudget retry_budget;
+    Pick pick{settings, random, pace};
+
+    Millis now = 0;
+    std::vector<Action>* actions = nullptr;
+    std::map<ServerId, Server> servers;
+    std::unordered_map<RequestId, Request> requests;                  // never iterated
+    std::unordered_map<TimerToken, std::optional<RequestId>> timers;  // none: the list's
+    std::uint64_t next_token = 1, next_order = 0;
+    Millis resubscribe = kResubscribe;
+    int outstanding = 0;                // at servers that were warm when asked
+    std::vector<RequestId> held, done;  // may name finished ones; ended during this event
+
+    void act(Action action) { actions->push_back(std::move(action)); }
+
+    // ---- The gate ---------------------------------------------------------------------------------------
+
+    bool is_cold(const Server& s) const { return cold.is_cold(s, now); }
+
+    bool may_send(const Request& r, Server& s) {
+        return r.may_go_to(s, settings, now) && (!is_cold(s) || cold_tokens(s) >= 1);  // rules 1 to 3, rule 4
+    }
+
+    double cold_tokens(Server& s) {
+        const ColdStart::Traffic traffic{aperture.carried_rate(now), aperture.warm(), aperture.sight(),
+                                         OutlierEjection::kBackoff, Admission::kFloor};
+        return cold.tokens(s, traffic, pace.of(s, now), now);
+    }
+
+    // ---- Membership -------------------------------------------------------------------------------------
+
+    void on(const Started&) {
+        if (settings.list_on_request) act(Subscribe{true});
+    }
+
+    void on(const ServerList& list) {
+        if (list.kind == ListKind::failed) {
+            // The list is one service for all: come back later and not in step with the others.
+            set_timer(now + resubscribe * (0.5 + random.unit()), std::nullopt);
+            resubscribe = std::min(resubscribe * 2, kResubscribe * 8);
+            return;
+        }
+        if (list.kind != ListKind::saved) resubscribe = kResubscribe;
+        if (list.kind != ListKind::incremental)
+            for (auto& [id, s] : servers) s.listed = false;
+        for (const ServerInfo& info : list.servers) learn(info);
+        std::erase_if(
+            servers, [](const auto& entry) { return !entry.second.listed && entry.second.outstanding == 0; });
+        std::vector<Server*> all;
+        for (auto& [id, s] : servers) all.push_back(&s);
+        aperture.set_servers(std::move(all));
+        draw_pool();
+        release_held();
+    }
+
+    void learn(const ServerInfo& info) {
+        const auto [it, fresh] = servers.try_emplace(info.id);
+        Server& s = it->second;
+        if (fresh) s.rank = random.next();
+        if (fresh || info.online_since > s.info.online_since) {
+            ColdStart::started(s, random.unit(), now);
+            OutlierEjection::forget(s);
+        }
+        s.info = info;
+        pace.learn(s);
+        s.listed = info.phase != Phase::off;
+    }
+
+    void draw_pool() {
+        aperture.draw(now, outstanding);
+        ejection.compare_with(aperture.pool());
+    }
+
+    // ---- A request --------------------------------------------------------------------------------------
+
+    void on(const RequestArrived& e) {
+        const auto [it, fresh] = requests.try_emplace(e.id);
+        if (!fresh) return;
+        Request& r = it->second;
+        r.id = e.id, r.repeat = e.repeat, r.order = next_order++;
+        r.kind.aim = std::max(1.0, e.time_left);  // an unknown class is handled with most care, as once
+        if (e.class_index < settings.classes.size()) r.kind = settings.classes[e.class_index];
+        r.kind.aim += r.kind.aim_stretch * std::max(0.0, e.effort);
+        r.deadline = now + (std::isfinite(e.time_left) ? std::max(0.0, e.time_left) : 0.0);
+        // Not the aim: that makes clients repeat what a server is still working on, while a late answer keeps
+        // them quiet. But the aim where a late answer is worth nothing, a failure is never repeated, and our
+        // count of what is out, lost for work that goes on, is a small part of any queue anyway.
+        const bool cut = r.kind.late_worth == 0 && r.kind.effect == Effect::once && aperture.narrow();
+        r.cutoff = cut ? std::min(r.deadline, now + r.kind.aim) : r.deadline;
+        retry_budget.arrived();
+        r.part = fairness.arrived(e.tenant, now);
+        r.hold_until = std::min(r.deadline, now + r.kind.aim * kHold);
+        if (e.no_place) return finish(r);
+        set_timer(r.deadline, r.id);
+        place(r);
+    }
+
+    void place(Request& r) {
+        if (aperture.stale(now, outstanding)) draw_pool();
+        const bool admitted =
+            admission.has_room(r.kind, r.repeat, r.part, outstanding, [this] { return random.unit(); });
+        if (Server* s = admitted ? due_trial(r) : nullptr) return dispatch(r, *s);
+        const auto may = [&](Server& s) { return (admitted || is_cold(s)) && may_send(r, s); };
+        const Pick::Crowd crowd{admission.crowd(), admission.crowded(), admission.our_part()};
+        if (Server* s = pick.one_of(aperture.pool(), r, crowd, now, may)) return dispatch(r, *s);
+        // Nobody may have it now. If one may later, hold it: at hold_until the timer answers.
+        if (r.any_out()) return;
+        if (now >= r.hold_until || r.attempts.size() >= settings.max_attempts ||
+            (r.first_possible_run() && r.kind.effect == Effect::once))
+            return finish(r);
+        held.push_back(r.id);
+        if (r.waiting) return;
+        r.waiting = true;
+        set_timer(r.hold_until, r.id);
+    }
+
+    Server* due_trial(const Request& r) {
+        for (Server* s : aperture.out())
+            if (ejection.trial_due(*s, now) && may_send(r, *s)) return s;
+        return nullptr;
+    }
+
+    void dispatch(Request& r, Server& s) {
+        const bool trial = s.standing == Standing::removed, is_cold_now = is_cold(s);
+        if (trial) OutlierEjection::trial_begins(s);
+        if (is_cold_now) ColdStart::sent(s);
+        if (!r.attempts.empty()) retry_budget.retried();
+        ++s.outstanding;
+        outstanding += !is_cold_now;
+        r.attempts.push_back({s.info.id, s.info.zone, s.info.cell, now, true, true, trial, is_cold_now});
+        act(Send{r.id, s.info.id, r.cutoff});
+    }
+
+    void on(const FirstByte& e) {
+        const auto it = requests.find(e.id);
+        if (it != requests.end() && e.attempt < it->second.attempts.size()) it->second.streaming = true;
+    }
+
+    void on(AttemptEnded e) {
+        const auto it = requests.find(e.id);
+        if (it == requests.end() || e.attempt >= it->second.attempts.size()) return;
+        Request& r = it->second;
+        Attempt& a = r.attempts[e.attempt];
+        if (!a.out) return;
+        // Our own timer and the attempt's end fall on the same moment. Whichever comes first, a server that
+        // let the client's time run out has failed: else one that answers nothing is never found out.
+        if (a.timed_out && e.outcome == Outcome::recalled) e.outcome = Outcome::overdue;
+        a.out = false;
+        outstanding -= !a.cold;
+        a.may_have_run = !proves_never_ran(e.outcome);
+        if (const auto at = servers.find(a.server); at != servers.end()) {
+            book(at->second, r, a, e);
+            if (!at->second.listed && at->second.outstanding == 0)
+                aperture.remove(&at->second), servers.erase(at);
+        }
+        if (e.request_ended) r.ended = true;
+        if (r.ended) done.push_back(r.id);
+        // Without a retry budget each request asks a crowded pool as often as the limits allow.
+        if (now >= r.cutoff || (!r.any_out() && !retry_budget.may_retry()))
+            finish(r);
+        else if (!r.ended && !r.any_out())
+            place(r);
+        release_held();
+    }
+
+    void book(Server& s, const Request& r, const Attempt& a, const AttemptEnded& e) {
+        --s.outstanding;
+        const bool is_cold_now = is_cold(s), turned_away = e.outcome == Outcome::saturated;
+        if (turned_away || e.outcome == Outcome::completed || e.outcome == Outcome::overdue) {
+            const double ratio =
+                turned_away ? Admission::kMostRatio
+                            : std::min(Admission::kMostRatio, std::max(0.0, e.duration) / r.kind.aim);
+            pace.answered(s, ratio, is_cold_now, now);
+            if (!is_cold_now) admission.answered(ratio, outstanding, aperture.warm(), now);
+        }
+        if (e.outcome == Outcome::completed && !a.cold) aperture.completed(now);
+        const bool late = e.duration > r.kind.aim && !is_cold_now;
+        using Verdict = OutlierEjection::Verdict;
+        const Verdict verdict =
+            ejection.judge(s, {e.outcome, a.trial, late, aperture.listed(), aperture.out().size()}, now);
+        if (verdict == Verdict::none) return;
+        if (verdict == Verdict::removed) act(Log{"removed from the pool", s.info.id});
+        if (verdict == Verdict::restored) act(Log{"restored after a trial", s.info.id});
+        aperture.set_out(&s, verdict != Verdict::restored);
+        draw_pool();
+    }
+
+    void on(const ClientGone& e) {
+        const auto it = requests.find(e.id);
+        if (it == requests.end()) return;
+        cancel_all(it->second);
+        it->second.ended = true;
+        done.push_back(e.id);
+    }
+
+    // What is worth most goes first, then what came last: under a crowd the oldest has least use left.
+    void release_held() {
+        if (held.empty() || !admission.any_room(outstanding)) return;
+        std::vector<RequestId> waiting;
+        waiting.swap(held);
+        std::erase_if(waiting, [&](RequestId id) {
+            const auto it = requests.find(id);
+            return it == requests.end() || it->second.ended || it->second.any_out();
+        });
+        std::sort(waiting.begin(), waiting.end(), [&](RequestId a, RequestId b) {
+            const Request &l = requests.at(a), &r = requests.at(b);
+            return l.kind.worth != r.kind.worth ? l.kind.worth > r.kind.worth : l.order > r.order;
+        });
+        for (const RequestId id : waiting) place(requests.at(id));
+    }
+
+    // The only final answer: a refusal where that is true, else a failure.
+    void finish(Request& r) {
+        if (r.ended || r.streaming) return;
+        for (Attempt& a : r.attempts) a.timed_out = a.out && now >= r.deadline;
+        cancel_all(r);
+        if (r.may_refuse(now))
+            act(Refuse{r.id, retry_in(r)});
+        else
+            act(GiveUp{r.id});
+        r.ended = true;
+        done.push_back(r.id);
+    }
+
+    // When to come back: what is out now has half its time left in the mean, and then leaves its place. No
+    // sooner than what we would have held the request for.
+    Millis retry_in(const Request& r) const {
+        return r.kind.aim * std::max(kHold, std::min(1.0, admission.crowd()) / 2);
+    }
+
+    void cancel_all(const Request& r) {
+        for (std::uint32_t i = 0; settings.may_cancel && i < r.attempts.size(); ++i)
+            if (r.attempts[i].out) act(Cancel{r.id, i});
+    }
+
+    // After each event: what has its answer and nothing out leaves no trace.
+    void forget_done() {
+        for (const RequestId id : done) {
+            const auto it = requests.find(id);
+            if (it != requests.end() && it->second.ended && !it->second.any_out()) requests.erase(it);
+        }
+        done.clear();
+    }
+
+    // ---- Timers -----------------------------------------------------------------------------------------
+
+    void set_timer(Millis at, std::optional<RequestId> request) {
+        timers[next_token] = request;
+        act(SetTimer{at, next_token++});
+    }
+
+    void on(const TimerFired& e) {
+        const auto timer = timers.find(e.token);
+        if (timer == timers.end()) return;
+        const std::optional<RequestId> id = timer->second;
+        timers.erase(timer);
+        if (!id) return act(Subscribe{true});
+        const auto it = requests.find(*id);
+        if (it == requests.end() || it->second.ended) return;
+        if (now >= it->second.deadline)
+            finish(it->second);
+        else if (!it->second.any_out())
+            place(it->second);
+    }
+};
+
+Balancer::Balancer(Settings settings, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
+Balancer::~Balancer() = default;
+Balancer::Balancer(Balancer&&) noexcept = default;
+Balancer& Balancer::operator=(Balancer&&) noexcept = default;
+
+void Balancer::handle(Millis now, const Event& event, std::vector<Action>& actions) {
+    if (std::isfinite(now)) impl_->now = std::max(impl_->now, now);  // one bad clock reading must not stay
+    impl_->actions = &actions;
+    std::visit([this](const auto& e) { impl_->on(e); }, event);
+    impl_->forget_done();
+}
+
+Balancer::Held Balancer::held() const {
+    return {impl_->requests.size(), impl_->servers.size(), impl_->timers.size()};
+}
+
+}  // namespace hollybeam
--- /dev/null
+++ b/src/policy/cold_start.cpp
@@ -0,0 +1,22 @@
+#include "policy/cold_start.hpp"
+
+#include <algorithm>
+
+namespace hollybeam {
+
+double ColdStart::tokens(Server& s, const Traffic& t, double pace, Millis now) const {
+    const double age = std::max(0.0, now - s.info.online_since) / within_;
+    const double share = from_ + (1 - from_) * std::min(1.0, age);
+    // While its answers come in time most of what would push it over; else just its share. Within that its
+    // outstanding requests decide, as everywhere.
+    const double feed = pace > kSlow ? 1 : std::max(1.0, kFeed * fall_);
+    const double fed = feed * share * t.carried / std::max<double>(1, static_cast<double>(t.warm));
+    // Never less than trials. But all that have it in sight together no more than so many in that time: a
+    // floor for each sidecar adds up, with their number, to what fells it.
+    const double trials = std::min(1.0, t.trials / std::max(1.0, t.sight)) / t.trial_every;
+    s.tokens = std::min(s.tokens + (now - s.tokens_at) * std::max(fed, trials), 1.0);
+    s.tokens_at = now;
+    return s.tokens;
+}
+
+}  // namespace hollybeam
--- /dev/null
+++ b/src/policy/cold_start.hpp
@@ -0,0 +1,48 @@
+// Cold start (rule 4: no cold server pushed over).
+//
+// A server of age a does at least cold_from of its work, rising evenly to all of it at warm_within. It is
+// sent that share of what a warm server carries for us (not of the mean of all: what starting servers lag
+// behind must not halve their feed), so the sum over all sidecars stays within what it can do without
+// agreement among them. Carried, not sent or asked for: in a storm of retries those are many times what a
+// warm server can do. A token is one send; a bucket holds one at most, so that nothing is saved up for a
+// burst.
+#pragma once
+
+#include "policy/server.hpp"
+
+namespace hollybeam {
+
+class ColdStart {
+public:
+    static constexpr double kFeed = 0.7;  // of the multiple that fells it; the rest is for unlike machines
+    static constexpr double kSlow =
+        0.55;  // answers that take this share of their aim: no more than its share
+
+    // What the sidecar is and does at the moment.
+    struct Traffic {
+        double carried = 0;                      // requests a ms that warm servers complete for us
+        std::size_t warm = 0;                    // those servers
+        double sight = 1;                        // sidecars that have this server in their pool
+        Millis trial_every = 10000, trials = 4;  // all of them together may try it so often in that time
+    };
+
+    explicit ColdStart(const Settings& settings)
+        : from_(settings.cold_from), within_(settings.warm_within), fall_(settings.fall_multiple) {}
+
+    bool is_cold(const Server& s, Millis now) const {
+        return within_ > 0 && s.info.online_since > 0 && now < s.info.online_since + within_;
+    }
+    // Another process under the same name, or a new one. depth (0 to 1, by chance): an empty bucket, at a
+    // different depth for each sidecar, as first tokens must not fall together.
+    static void started(Server& s, double depth, Millis now) { s.tokens = -depth, s.tokens_at = now; }
+    // Sends that it may take now. pace: what its answers take of their aim.
+    double tokens(Server& s, const Traffic& t, double pace, Millis now) const;
+    static void sent(Server& s) { s.tokens -= 1; }
+
+private:
+    double from_;
+    Millis within_;
+    double fall_;
+};
+
+}  // namespace hollybeam
--- /dev/null
+++ b/src/policy/ejection.cpp
@@ -0,0 +1,63 @@
+#include "policy/ejection.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hollybeam {
+
+OutlierEjection::Verdict OutlierEjection::judge(Server& s, const Case& c, Millis now) {
+    const bool success = c.outcome == Outcome::completed && !c.late;
+    const bool says_something = c.outcome != Outcome::recalled && c.outcome != Outcome::superseded;
+    if (s.standing == Standing::trial && c.trial) {
+        if (!says_something) {
+            s.standing = Standing::removed;  // undecided: the next request is the trial
+            return Verdict::none;
+        }
+        if (!success) return remove(s, now);
+        s.standing = Standing::live;
+        s.window.clear();
+        return Verdict::restored;
+    }
+    if (!says_something || s.standing != Standing::live) return Verdict::none;
+    add(s, success);
+    const bool slow = c.late || c.outcome == Outcome::overdue;
+    return !success && below_threshold(s) && may_remove(c, slow) ? remove(s, now) : Verdict::none;
+}
+
+OutlierEjection::Verdict OutlierEjection::remove(Server& s, Millis now) {
+    const bool again = s.standing != Standing::live;
+    s.standing = Standing::removed;
+    s.backoff_until = now + kBackoff;
+    return again ? Verdict::removed_again : Verdict::removed;
+}
+
+void OutlierEjection::add(Server& s, bool success) {
+    if (s.in_pool) good_ -= s.window.successes(), all_ -= s.window.filled();
+    s.window.add(success);
+    if (s.in_pool) good_ += s.window.successes(), all_ += s.window.filled();
+}
+
+void OutlierEjection::compare_with(const std::vector<Server*>& pool) {
+    good_ = all_ = 0;
+    for (const Server* s : pool) good_ += s->window.successes(), all_ += s->window.filled();
+}
+
+// 0.9 of the others' success share, less three standard errors of a window of that share. While the others
+// don't fail, this is 0.9 and nothing else.
+bool OutlierEjection::below_threshold(const Server& s) const {
+    const double good = good_ - (s.in_pool ? s.window.successes() : 0);
+    const double all = all_ - (s.in_pool ? s.window.filled() : 0);
+    const double level = all > 0 ? good / all : 1;
+    const double noise = std::sqrt(level * (1 - level) / static_cast<double>(Window::kSize));
+    const double filled = s.window.filled();
+    const double benefit = std::min(kBenefit, Window::kSize - filled);
+    return (s.window.successes() + benefit) / (filled + benefit) < kThreshold * level - kDeviations * noise;
+}
+
+// Panic threshold: half of the listed servers stay in the pool, whatever their windows say, and three
+// quarters if it is for slow answers: in a crowd the slow machines are still needed.
+bool OutlierEjection::may_remove(const Case& c, bool slow) {
+    return (slow ? 4 : 2) * (c.out + 1) <= c.listed;
+}
+
+}  // namespace hollybeam
--- /dev/null
+++ b/src/policy/fading.hpp
@@ -0,0 +1,33 @@
+// Counts and means that fade with time, the way every part of the module remembers.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+
+#include "hollybeam/balancer.hpp"
+
+namespace hollybeam {
+
+// A count that loses all but 1/e of itself in `memory` ms.
+struct Tally {
+    double count = 0;
+    Millis at = 0;
+    double left(Millis now, Millis memory) const { return count * std::exp((at - now) / memory); }
+    void add(Millis now, Millis memory) { count = left(now, memory) + 1, at = now; }
+};
+
+// A mean in which samples count less the older they are, and about the last kMostSamples of them at most:
+// light traffic needs the first, heavy traffic the second.
+struct Recent : Tally {
+    static constexpr double kMostSamples = 10;
+
+    double value = 0;
+    void add(double sample, Millis now, Millis memory) {
+        Tally::add(now, memory);
+        count = std::min(count, kMostSamples);
+        value += (sample - value) / count;
+    }
+};
+
+}  // namespace hollybeam
--- /dev/null
+++ b/src/policy/pick.cpp
@@ -0,0 +1,32 @@
+#include "policy/pick.hpp"
+
+namespace hollybeam {
+
+// One is of our zone: it wins ties, and with one request more where our part of the fee exceeds the chance of
+// a late answer.
+Server* Pick::better_of_two(const Crowd& crowd, Millis now) {
+    const auto in_my_zone = [this](const Server* s) { return s->info.zone == *zone_; };
+    // In place: the order within each half is that of the pool.
+    std::size_t near = 0;
+    if (zone_ && !crowd.crowded) {
+        again_.clear();
+        for (Server* s : fresh_)
+            if (!in_my_zone(s))
+                again_.push_back(s);
+            else
+                fresh_[near++] = s;
+        std::copy(again_.begin(), again_.end(), fresh_.begin() + static_cast<std::ptrdiff_t>(near));
+    }
+    const std::size_t first = random_->below(near > 0 ? near : fresh_.size());
+    if (fresh_.size() == 1) return fresh_[first];
+    std::size_t second = random_->below(fresh_.size() - 1);
+    if (second >= first) ++second;
+    const Server &a = *fresh_[first], &b = *fresh_[second];
+    const bool nearer = near > 0 && second >= near;
+    const int grace = nearer && crowd.our_part * fee_ > std::exp(-1 / crowd.value);
+    const bool other = b.outstanding + grace < a.outstanding ||
+                       (b.outstanding == a.outstanding && !nearer && pace_->of(b, now) < pace_->of(a, now));
+    return fresh_[other ? second : first];
+}
+
+}  // namespace hollybeam
--- /dev/null
+++ b/src/policy/pick.hpp
@@ -0,0 +1,51 @@
+// Pick: of two servers drawn by chance, the one with fewer of our outstanding requests (DESIGN). Where they
+// are equal the quicker one; where crossing zones costs and there is no crowd, the nearer.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+#include "base/random.hpp"
+#include "policy/pace.hpp"
+#include "policy/request.hpp"
+
+namespace hollybeam {
+
+class Pick {
+public:
+    Pick(const Settings& settings, Random& random, const Pace& pace)
+        : zone_(settings.fees.cross_zone > 0 ? settings.my_zone : std::nullopt),
+          fee_(settings.fees.cross_zone),
+          random_(&random),
+          pace_(&pace) {}
+
+    struct Crowd {
+        double value = 0;  // answers' time against their aim
+        bool crowded = false;
+        double our_part = 1;  // of what all sidecars do at one server
+    };
+    // One of the pool for which may(Server&) holds; before those that this request has tried come the others.
+    // None: nullptr. Linear in the pool; takes no memory once it has seen the largest pool.
+    template <class May>
+    Server* one_of(const std::vector<Server*>& pool, const Request& r, const Crowd& crowd, Millis now,
+                   May may) {
+        fresh_.clear();
+        again_.clear();
+        for (Server* s : pool)
+            if (may(*s)) (r.tried(s->info.id) ? again_ : fresh_).push_back(s);
+        if (fresh_.empty()) fresh_.swap(again_);
+        return fresh_.empty() ? nullptr : better_of_two(crowd, now);
+    }
+
+private:
+    Server* better_of_two(const Crowd& crowd, Millis now);
+
+    std::optional<ZoneId> zone_;  // none where zones don't matter
+    double fee_;
+    Random* random_;
+    const Pace* pace_;
+    std::vector<Server*> fresh_, again_;  // kept for their memory
+};
+
+}  // namespace hollybeam
--- /dev/null
+++ b/src/policy/request.hpp
@@ -0,0 +1,47 @@
+// One request: its attempts, and the rules that bind it. What may_go_to() and may_refuse() forbid does not
+// leave the module, whatever the rest of it decides.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "policy/server.hpp"
+
+namespace hollybeam {
+
+struct Attempt {
+    ServerId server = 0;
+    ZoneId zone = 0;
+    std::uint32_t cell = 0;
+    Millis sent_at = 0;
+    bool out = true, may_have_run = true, trial = false, cold = false;
+    bool timed_out = false;  // we withdrew it because the client's time was up: its server was too slow
+};
+
+struct Request {
+    RequestId id = 0;
+    RequestClass kind;        // its aim stretched by its effort
+    Millis deadline = 0;      // the client's
+    Millis cutoff = 0;        // when we give up: at the deadline or before
+    double part = 1;          // of the room, for its tenant (Fairness)
+    std::uint64_t order = 0;  // of arrival
+    bool repeat = false, ended = false, streaming = false;
+    bool waiting = false;   // has its hold timer
+    Millis hold_until = 0;  // what waits for room is refused after this
+    std::vector<Attempt> attempts;
+
+    bool any_out() const;
+    bool tried(ServerId server) const;
+    const Attempt* first_possible_run() const;
+
+    // Rules 1 to 3: it has no final answer and its client waits; attempts and their concurrence are within
+    // the limits; nothing may take effect twice; the list lets new requests go there.
+    bool may_go_to(const Server& s, const Settings& settings, Millis now) const;
+    // Rule 2 again: "trying again is harmless" has to be true.
+    bool may_refuse(Millis now) const;
+
+private:
+    bool in_scope(const Attempt& a, const ServerInfo& s) const;
+};
+
+}  // namespace hollybeam
--- /dev/null
+++ b/src/policy/server.hpp
@@ -0,0 +1,49 @@
+// What is known of one server, each part kept by the class that it names.
+#pragma once
+
+#include <bit>
+#include <cstdint>
+
+#include "hollybeam/balancer.hpp"
+#include "policy/fading.hpp"
+
+namespace hollybeam {
+
+// The last kSize outcomes of a server.
+class Window {
+public:
+    static constexpr std::uint32_t kSize = 20;  // DESIGN: the mechanism's own figure
+
+    void add(bool success) {
+        bits_ = ((bits_ << 1) | (success ? 1U : 0U)) & ((1U << kSize) - 1);
+        filled_ = std::min(filled_ + 1, kSize);
+    }
+    void clear() { bits_ = filled_ = 0; }
+    std::uint32_t filled() const { return filled_; }
+    std::uint32_t successes() const { return static_cast<std::uint32_t>(std::popcount(bits_)); }
+
+private:
+    std::uint32_t bits_ = 0, filled_ = 0;
+};
+
+enum class Standing { live, removed, trial };
+
+struct Server {
+    ServerInfo info;
+    bool listed = true;
+    int outstanding = 0;                 // attempts of this sidecar that are out there
+    std::uint64_t rank = 0;              // Aperture's: drawn once, so that sidecars differ
+    bool in_pool = false;                // Aperture's
+    Standing standing = Standing::live;  // OutlierEjection's, as the next two
+    Window window;
+    Millis backoff_until = 0;
+    double tokens = 0;  // ColdStart's: sends that a cold server may still take, as of tokens_at
+    Millis tokens_at = 0;
+    Recent* kind = nullptr;  // Pace's: of all warm servers of its kind
+    Recent pace;             // Pace's: of its own answers
+
+    // Whether anything new may go to it, as far as the list says (rule 3).
+    bool open() const { return listed && info.phase == Phase::on; }
+};
+
+}  // namespace hollybeam
--- a/src/rehearsal/balancers.cpp
+++ b/src/rehearsal/balancers.cpp
@@ -5,7 +5,7 @@
 #include <stdexcept>
 #include <unordered_map>
 
-#include "random.hpp"
+#include "base/random.hpp"
 
 namespace elmbay::rehearsal {
 
--- a/src/rehearsal/chance.hpp
+++ b/src/rehearsal/chance.hpp
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <string_view>
 
-#include "random.hpp"
+#include "base/random.hpp"
 
 namespace elmbay::rehearsal {
 
--- a/src/rehearsal/real/stage.hpp
+++ b/src/rehearsal/real/stage.hpp
@@ -5,7 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 
-#include "net/timing.hpp"
+#include "base/timing.hpp"
 #include "rehearsal/report.hpp"
 
 namespace elmbay::rehearsal {
--- a/src/adapter.cpp
+++ b/src/simulator/adapter.cpp
@@ -1,7 +1,7 @@
 // The process that the simulator starts: the wire on standard input and output.
 #include <iostream>
 
-#include "wire.hpp"
+#include "simulator/wire.hpp"
 
 int main() {
     std::ios::sync_with_stdio(false);
--- a/src/wire.cpp
+++ b/src/simulator/wire.cpp
@@ -1,4 +1,4 @@
-#include "wire.hpp"
+#include "simulator/wire.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -6,7 +6,7 @@
 #include <istream>
 #include <ostream>
 
-#include "overloaded.hpp"
+#include "base/overloaded.hpp"
 
 namespace hollybeam::wire {
 
--- a/src/wire.hpp
+++ b/src/simulator/wire.hpp
@@ -10,8 +10,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/site.hpp"
 #include "hollybeam/balancer.hpp"
-#include "site.hpp"
 
 namespace hollybeam::wire {
 
--- a/tests/wire_test.cpp
+++ b/tests/simulator/wire_test.cpp
@@ -1,5 +1,5 @@
 // The codec and the host, on text as the simulator would write it.
-#include "wire.hpp"
+#include "simulator/wire.hpp"
 
 #include <gtest/gtest.h>
 
