Admission that knows before it hurts: a ceiling learned from the mean load

Change: servers that share their cores take no more than in proportion to what they hold, so the mean of what is out, over the share of the aim that answers take, bounds what may be out (fading in a minute, and in part when servers have gone). The room grows by one for an answer only while it is full and nothing is crowded. A sidecar whose part of the servers is under one attempt admits a share of its requests instead, as a breaker with growing probes.

--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -2,26 +2,53 @@
 
 namespace hollybeam {
 
-Admission::Admission(const Settings& settings)
-    : our_part_(std::min(1.0, kFloor / std::max(1U, settings.siblings))) {
+Admission::Admission(const Settings& settings) : each_(kFloor / std::max(1U, settings.siblings)) {
     for (const RequestClass& c : settings.classes) top_worth_ = std::max(top_worth_, c.worth);
 }
 
-void Admission::answered(double ratio, int out, std::size_t warm, Millis now) {
+// Where slow service alone takes that long, refusing more does not help and idles the servers: one attempt
+// for each warm live server is always allowed, and with many sidecars our part of kFloor.
+void Admission::pool_is(std::size_t warm) {
+    warm_ = static_cast<double>(warm);
+    floor_ = our_part() * warm_;
+    least_ceiling_ = std::max(kOpen, kBelieved * each_ * warm_);
+    room_ = std::max(room_, std::min(floor_, kOpen));
+    if (crowd_.count == 0) room_ = std::max(kOpen, kFirst * each_ * warm_);
+}
+
+void Admission::answered(double ratio, int out, Millis now) {
+    room_ = room(now);
+    learned_ *= std::exp((at_ - now) / kLearned);
+    at_ = now;
     crowd_.add(ratio, now, kMemory);
+    answers_.add(now, kMemory);
+    load_ += (out + 1 - load_) / answers_.count;
+    const double could = load_ * kAimShare / std::max(kLeastShare, crowd_.value);
+    if (crowd_.value <= kAimShare && could >= learned_) learned_ = could, taught_by_ = warm_;
     used_ = std::max<double>(used_ + (out - used_) * 2 / kUsedOver, out);
+    if (light() && room_ <= kOpen && breaker(ratio, out)) return;
     const double step = kGain * (kAimShare - crowd_.value);
+    const bool wanted = !crowded() && out + 2 >= room_;
     if (step < 0)
-        room_ = std::max(floor(warm), std::min(room_, used_ + 1.0) + step * std::min(1.0, room_));
+        room_ = std::max(floor_, std::min(room_, used_ + 1.0) + step * std::min(1.0, room_));
     else
-        room_ = std::min(kRoomAtStart, room_ + step);
+        room_ = std::min(ceiling(), room_ + (wanted ? kWanted : step));
 }
 
-// Where slow service alone takes that long, refusing more does not help and idles the servers: one attempt
-// for each warm live server is always allowed, and with many sidecars our part of kFloor. That may be less
-// than one: a thousand sidecars with one attempt each are a jam.
-double Admission::floor(std::size_t warm) const {
-    return std::max(kLeastRoom, our_part_ * static_cast<double>(warm));
+// Fewer servers than taught it carry no more than their part of it.
+double Admission::ceiling() const {
+    return std::max(least_ceiling_, learned_ * std::min(1.0, warm_ / std::max(1.0, taught_by_)));
+}
+
+// Whether the answer opens or closes it. One that is late among quick ones is chance and closes nothing.
+bool Admission::breaker(double ratio, int out) {
+    if (ratio >= 1 && crowd_.value > kAimShare)
+        room_ = kProbe;
+    else if (ratio <= kAimShare && room_ < kOpen)
+        room_ = room_ < kHalfOpen ? kHalfOpen : kOpen;
+    else
+        return crowd_.value <= kAimShare && out + 1 < kOpen;  // open, and not all of it is used
+    return true;
 }
 
 }  // namespace hollybeam
--- a/src/policy/admission.hpp
+++ b/src/policy/admission.hpp
@@ -1,10 +1,20 @@
 // Admission: how many attempts may be out at warm servers, and who may still add one.
 //
-// Little's law: a bound on what is out bounds the time it takes. The bound follows how long answers take
-// against their aim; errors say nothing about crowding, and it only grows while it is used.
+// Little's law: a bound on what is out (the room) bounds the time it takes. The room follows how long answers
+// take against their aim; errors say nothing about crowding, and it only grows while it is used.
+//
+// How far it may grow before anything hurts: servers that share their cores take no more than in proportion
+// to what they hold, so n out at a share x of the aim lets no more than n * kAimShare / x out come in at
+// kAimShare. The most that was learned so, fading in a minute, is the ceiling: a rush meets it at once, and
+// not 1000 places that nobody ever saw carried. (docs/design/admission.md)
+//
+// A sidecar among so many that its part of the servers is less than one attempt (light) can't bound what is
+// out by a count: it admits a share of its requests, as a breaker does. A late answer closes it but for
+// probes, which grow with time; one in time half opens it, another opens it.
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 
 #include "policy/fading.hpp"
 
@@ -13,47 +23,75 @@
 class Admission {
 public:
     // Attempts out are kept to what brings the mean answer in at this share of its aim: more makes the slower
-    // answers late, less leaves servers idle. It starts without a bound worth the name.
-    static constexpr double kAimShare = 0.55, kRoomAtStart = 1000, kGain = 0.5;
-    static constexpr double kLeastRoom = 0.25;  // so that a light sidecar goes on hearing from its servers
-    static constexpr double kCrowded = 0.35;    // answers take this share of the aim: well above an idle pool
+    // answers late, less leaves servers idle.
+    static constexpr double kAimShare = 0.55, kGain = 0.5;
+    // Of servers that have taught nothing yet, in multiples of our part of kFloor: where the room begins, so
+    // that a sidecar that starts under load is soon at its settled room, and where its ceiling is at the
+    // least.
+    static constexpr double kFirst = 5, kBelieved = 2;
+    static constexpr double kLeastShare = 0.05;  // answers quicker than this teach no more
+    static constexpr double kWanted =
+        1;  // an answer opens a room that is full so far, while nothing is crowded
+    static constexpr Millis kLearned = 60000;  // what was learned fades so
     static constexpr double kFloor = 4;  // attempts at a server by all sidecars together that are always left
+    static constexpr double kOpen = 2, kHalfOpen = 0.5, kProbe = 0.02;  // a light sidecar's room
+    static constexpr Millis kProbesGrow = 3000;                         // by e in this time
+    static constexpr double kCrowded = 0.35;  // answers take this share of the aim: well above an idle pool
     static constexpr double kMostRatio =
-        1.5;  // of an answer's time to its aim: what a turned-away one counts
+        1.5;                                 // of an answer's time to its aim: what a turned-away one counts
+    static constexpr double kUsedOver = 20;  // answers; twice that weight to each
+    static constexpr Millis kMemory = 5000;  // as long as what servers complete (Aperture)
     // The part of the room that is there for every class, however little its worth, and all that repeats get:
     // a repeat's aim has been running since its first try.
     static constexpr double kCommonRoom = 0.6;
-    static constexpr double kUsedOver = 20;  // answers; twice that weight to each
-    static constexpr Millis kMemory = 5000;  // as long as what servers complete (Aperture)
 
     explicit Admission(const Settings& settings);
 
-    // A warm server answered; ratio: the time it took over its aim. out: attempts still out with it; warm:
-    // servers of the pool.
-    void answered(double ratio, int out, std::size_t warm, Millis now);
+    // The pool has so many warm servers.
+    void pool_is(std::size_t warm);
+    // A warm server answered; ratio: the time it took over its aim. out: attempts still out with it.
+    void answered(double ratio, int out, Millis now);
 
-    // Whether one more may go out. chance: drawn from 0 to 1, so that less than one attempt can be allowed.
-    // part: of the room, for its tenant.
+    // Whether one more may go out. part: of the room, for its tenant. chance: drawn from 0 to 1, so that less
+    // than one attempt can be allowed.
     template <class Chance>
-    bool has_room(const RequestClass& kind, bool repeat, double part, int out, Chance chance) const {
-        const double mine = room_ * (crowd_.value > kCrowded ? part : 1) *
-                            (kCommonRoom + (1 - kCommonRoom) * kind.worth / top_worth_ * (repeat ? 0 : 1));
-        return out < mine && chance() <= mine;
+    bool has_room(const RequestClass& kind, bool repeat, double part, int out, Millis now,
+                  Chance chance) const {
+        double mine = room(now) * (crowded() ? part : 1) *
+                      (kCommonRoom + (1 - kCommonRoom) * kind.worth / top_worth_ * (repeat ? 0 : 1));
+        if (out >= mine) return false;
+        // Of a share of the requests, first tries have the most: each stands for several repeats.
+        if (mine < 1 && repeat) mine *= mine;
+        return chance() <= mine;
     }
-    bool any_room(int out) const { return out < room_; }
+    bool any_room(int out, Millis now) const { return out < room(now); }
 
     bool crowded() const { return crowd_.value > kCrowded; }
     double crowd() const { return crowd_.value; }  // answers' time against their aim, at warm servers
     // Our part of what all sidecars together may always do at one server.
-    double our_part() const { return our_part_; }
+    double our_part() const { return std::min(1.0, each_); }
 
 private:
-    double floor(std::size_t warm) const;
+    double room(Millis now) const {
+        return room_ < 1 ? std::min(1.0, room_ * std::exp((now - at_) / kProbesGrow)) : room_;
+    }
+    bool light() const { return floor_ < 1; }
+    bool breaker(double ratio, int out);
+    double ceiling() const;
 
-    double our_part_, top_worth_ = 1e-9;  // of any class
+    double each_;              // our part of kFloor
+    double top_worth_ = 1e-9;  // of any class
+    double floor_ = 0;         // of the room: one attempt for each warm server, or our part of kFloor
+    double least_ceiling_ = kOpen;
     Recent crowd_;
-    double used_ = 0;  // the most attempts out of late: a lull must not close the room
-    double room_ = kRoomAtStart;
+    Tally answers_;       // of late
+    double load_ = 0;     // attempts out in the mean of those answers
+    double used_ = 0;     // the most attempts out of late: a lull must not close the room
+    double warm_ = 0;     // servers of the pool
+    double learned_ = 0;  // the most that could be out, as of at_, and how many servers taught it
+    double taught_by_ = 0;
+    double room_ = 0;  // at at_; 0: none has been given yet
+    Millis at_ = 0;
 };
 
 }  // namespace hollybeam
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -126,6 +126,7 @@
     void draw_pool() {
         aperture.draw(now, outstanding);
         ejection.compare_with(aperture.pool());
+        admission.pool_is(aperture.warm());
     }
 
     // ---- A request --------------------------------------------------------------------------------------
@@ -155,7 +156,7 @@
     void place(Request& r) {
         if (aperture.stale(now, outstanding)) draw_pool();
         const bool admitted =
-            admission.has_room(r.kind, r.repeat, r.part, outstanding, [this] { return random.unit(); });
+            admission.has_room(r.kind, r.repeat, r.part, outstanding, now, [this] { return random.unit(); });
         if (Server* s = admitted ? due_trial(r) : nullptr) return dispatch(r, *s);
         const auto may = [&](Server& s) { return (admitted || is_cold(s)) && may_send(r, s); };
         const Pick::Crowd crowd{admission.crowd(), admission.crowded(), admission.our_part()};
@@ -228,7 +229,7 @@
                 turned_away ? Admission::kMostRatio
                             : std::min(Admission::kMostRatio, std::max(0.0, e.duration) / r.kind.aim);
             pace.answered(s, ratio, is_cold_now, now);
-            if (!is_cold_now) admission.answered(ratio, outstanding, aperture.warm(), now);
+            if (!is_cold_now) admission.answered(ratio, outstanding, now);
         }
         if (e.outcome == Outcome::completed && !a.cold) aperture.completed(now);
         const bool late = e.duration > r.kind.aim && !is_cold_now;
@@ -252,7 +253,7 @@
 
     // What is worth most goes first, then what came last: under a crowd the oldest has least use left.
     void release_held() {
-        if (held.empty() || !admission.any_room(outstanding)) return;
+        if (held.empty() || !admission.any_room(outstanding, now)) return;
         std::vector<RequestId> waiting;
         waiting.swap(held);
         std::erase_if(waiting, [&](RequestId id) {
