Rehearsal: rushes of every shape, time to settle and to recover, an oracle to measure against

Need: a rush could only be a step, and a report did not say how its first seconds went, nor what was possible at all.

Change: faults of kind load are a step, a ramp, doublings, spikes or a square wave, of all classes or one; callers' retries can leave together. The report and [expect] have onset (the worst of the first two seconds over the settled half), settle and recover.

--- a/src/rehearsal/archive.hpp
+++ b/src/rehearsal/archive.hpp
@@ -25,6 +25,8 @@
 
     ServerModel& server(std::uint32_t number) { return servers_[number]; }
     const ServerModel& server(std::uint32_t number) const { return servers_[number]; }
+    Millis mean_work(std::uint32_t class_index) const { return incident_.classes.at(class_index).work; }
+    double cores() const { return static_cast<double>(incident_.fleet.cores); }
     std::uint32_t count() const { return static_cast<std::uint32_t>(servers_.size()); }
     // Whether the list named it at the start.
     bool there_at_start(std::uint32_t server) const { return !incident_.starts_off(server); }
--- a/src/rehearsal/balancers.cpp
+++ b/src/rehearsal/balancers.cpp
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "base/random.hpp"
+#include "rehearsal/archive.hpp"
 
 namespace elmbay::rehearsal {
 
@@ -196,8 +197,120 @@
     TimerToken token_ = 0;
 };
 
+// Knows, of each server that is up and that its list names as open: requests in work and waiting, what it can
+// do at this moment (speed, warmth), whether it stands still now; and what a request of each class costs in
+// the mean. Not what this request will cost, nor what is to come: arrivals, freezes, deaths. A request goes
+// where it will be done first, if that is within a share of its aim as things stand (with -worth: the less,
+// the less its class is worth), and is refused at once otherwise. The report's bound is the best of those
+// that oracle_names() lists.
+class Oracle : public Decider {
+public:
+    Oracle(const Settings& settings, double share, bool worth_first)
+        : settings_(settings), share_(share), worth_first_(worth_first) {
+        for (const RequestClass& c : settings.classes) top_worth_ = std::max(top_worth_, c.worth);
+    }
+    void see(const Archive& archive) override { archive_ = &archive; }
+    void handle(Millis now, const Event& event, std::vector<Action>& actions) override {
+        now_ = now;
+        actions_ = &actions;
+        if (const auto* list = std::get_if<ServerList>(&event)) {
+            if (list->kind != ListKind::incremental) phases_.clear();
+            for (const ServerInfo& s : list->servers) phases_[s.id] = s.phase;
+        } else if (const auto* e = std::get_if<RequestArrived>(&event)) {
+            Open& r = open_[e->id];
+            if (e->class_index < settings_.classes.size()) r.kind = settings_.classes[e->class_index];
+            r.work = archive_->mean_work(e->class_index);
+            r.until = now_ + e->time_left;
+            place(e->id, r);
+        } else if (const auto* end = std::get_if<AttemptEnded>(&event)) {
+            on_end(*end);
+        } else if (const auto* gone = std::get_if<ClientGone>(&event)) {
+            const auto at = open_.find(gone->id);
+            if (at == open_.end()) return;
+            if (at->second.out) actions_->push_back(Cancel{gone->id, at->second.attempts - 1});
+            open_.erase(at);
+        }
+    }
+
+private:
+    static constexpr double kLesser = 0.4;
+    struct Open {
+        RequestClass kind;
+        Millis work = 0, until = 0;
+        std::uint32_t attempts = 0;
+        bool out = false, may_have_run = false;
+    };
+    void place(RequestId id, Open& r) {
+        ServerId best = 0;
+        // By worth as the class says it: what is worth less leaves part of the servers to what is worth most.
+        const double part = worth_first_ ? kLesser + (1 - kLesser) * r.kind.worth / top_worth_ : 1;
+        Millis soonest = r.kind.aim * share_ * part;
+        for (const auto& [server, phase] : phases_) {
+            if (phase != Phase::on) continue;
+            const Millis takes = estimate(server - 1, r.work);
+            if (takes < soonest) soonest = takes, best = server;
+        }
+        if (best == 0) {
+            if (r.may_have_run && r.kind.effect != Effect::repeatable)
+                actions_->push_back(GiveUp{id});
+            else
+                actions_->push_back(Refuse{id, 0});
+            open_.erase(id);
+            return;
+        }
+        r.out = true;
+        ++r.attempts;
+        actions_->push_back(Send{id, best, r.until});
+    }
+    // Cores shared evenly by all that are in work, the waiting room ahead of it.
+    Millis estimate(std::uint32_t server, Millis work) const {
+        const ServerModel& s = archive_->server(server);
+        if (!s.running() || !s.reachable() || s.frozen(now_ - kEpoch)) return 1e9;
+        const double capacity = s.capacity(now_ - kEpoch), cores = archive_->cores();
+        const double there = static_cast<double>(s.in_work() + s.waiting()) + 1;
+        return work * std::max(1.0, there / cores) * cores / capacity;
+    }
+    void on_end(const AttemptEnded& e) {
+        const auto at = open_.find(e.id);
+        if (at == open_.end()) return;
+        Open& r = at->second;
+        r.out = false;
+        r.may_have_run =
+            r.may_have_run || (e.outcome != Outcome::saturated && e.outcome != Outcome::refused_connection &&
+                               e.outcome != Outcome::superseded);
+        if (e.request_ended) {
+            open_.erase(at);
+        } else if (r.attempts < 2 && now_ < r.until &&
+                   (!r.may_have_run || r.kind.effect == Effect::repeatable)) {
+            place(e.id, r);
+        } else {
+            const bool ran = r.may_have_run && r.kind.effect != Effect::repeatable;
+            actions_->push_back(ran ? Action(GiveUp{e.id}) : Action(Refuse{e.id, 0}));
+            open_.erase(at);
+        }
+    }
+
+    static constexpr Millis kEpoch = 1e9;  // the virtual driver's
+    const Settings settings_;
+    const double share_;
+    const bool worth_first_;
+    double top_worth_ = 1e-9;
+    const Archive* archive_ = nullptr;
+    Millis now_ = 0;
+    std::vector<Action>* actions_ = nullptr;
+    std::map<ServerId, Phase> phases_;
+    std::unordered_map<RequestId, Open> open_;
+};
+
 }  // namespace
 
+const std::vector<std::string>& oracle_names() {
+    static const std::vector<std::string> names{"oracle-35",       "oracle-45",       "oracle-55",
+                                                "oracle-65",       "oracle-35-worth", "oracle-45-worth",
+                                                "oracle-55-worth", "oracle-65-worth", "oracle-75-worth"};
+    return names;
+}
+
 const std::vector<BalancerName>& balancer_names() {
     static const std::vector<BalancerName> names{
         {"elmbay", "elmbay's own decision module", ""},
@@ -216,6 +329,10 @@
 std::unique_ptr<Decider> make_balancer(const std::string& name, const Settings& settings,
                                        std::uint64_t seed) {
     if (name == "elmbay") return std::make_unique<Module>(settings, seed);
+    for (const std::string& oracle : oracle_names())
+        if (name == oracle)
+            return std::make_unique<Oracle>(settings, std::stod(name.substr(7)) / 100,
+                                            name.ends_with("worth"));
     Flaws flaws;
     flaws.storm = name == "random-storm";
     flaws.twice = name == "twice-at-once";
--- a/src/rehearsal/balancers.hpp
+++ b/src/rehearsal/balancers.hpp
@@ -1,5 +1,8 @@
 // What decides in a rehearsal in virtual time: elmbay's own decision module, or one that is known to be bad.
 //
+// The oracle is no balancer that could be: it reads every server's queue. It gives the figure that others are
+// a share of.
+//
 // The bad ones are one plain balancer, sound but simple, with one flaw each. They are there to prove the
 // rehearsal: one that a bad balancer passes proves nothing.
 #pragma once
@@ -14,9 +17,13 @@
 
 using hollybeam::Millis;
 
+class Archive;
+
 class Decider {
 public:
     virtual ~Decider() = default;
+    // Before the first event. Only the oracle looks.
+    virtual void see(const Archive&) {}
     // As hollybeam::Balancer::handle().
     virtual void handle(Millis now, const hollybeam::Event& event,
                         std::vector<hollybeam::Action>& actions) = 0;
@@ -29,6 +36,8 @@
 };
 // "elmbay" first, then the sound plain one, then the bad ones.
 const std::vector<BalancerName>& balancer_names();
+// The oracle at each of its shares; make_balancer() knows them, balancer_names() does not list them.
+const std::vector<std::string>& oracle_names();
 // Throws std::invalid_argument for a name that is none of these.
 std::unique_ptr<Decider> make_balancer(const std::string& name, const hollybeam::Settings& settings,
                                        std::uint64_t seed);
--- a/src/rehearsal/callers.cpp
+++ b/src/rehearsal/callers.cpp
@@ -81,7 +81,16 @@
         const double keep = random.unit();
         ask.sidecar = static_cast<std::uint32_t>(drawn(random, sidecars));
         ask.class_index = static_cast<std::uint32_t>(drawn(random, classes));
-        if (keep * most < shape.at(at)) asks_.push_back(ask);
+        if (keep * most >= shape.at(at)) continue;
+        // Which of those of a rush are the rush: as many as are beyond the usual.
+        for (const FaultSpec& f : incident.faults) {
+            if (f.only.empty()) continue;
+            const double times = load_of(incident, f, at);
+            if (times <= 1 || random.unit() * times < 1) continue;
+            for (std::size_t i = 0; i < incident.classes.size(); ++i)
+                if (incident.classes[i].name == f.only) ask.class_index = static_cast<std::uint32_t>(i);
+        }
+        asks_.push_back(ask);
     }
 }
 
@@ -109,7 +118,9 @@
     Random random = stream(incident_.overview.seed, Purpose::backoff, last.id);
     const bool honours = random.unit() < incident_.callers.honour;
     const Millis wait = incident_.callers.backoff * (0.5 + random.unit());
-    const Millis at = now + (honours ? std::max(wait, retry_after) : wait);
+    Millis at = now + (honours ? std::max(wait, retry_after) : wait);
+    if (const Millis together = incident_.callers.together; together > 0)
+        at = std::ceil(at / together) * together;
     if (at + kLeastTime > ask.at + c.give_up) return {};
     return make(request, nth, at);
 }
--- a/src/rehearsal/incident.cpp
+++ b/src/rehearsal/incident.cpp
@@ -93,6 +93,8 @@
     {"try_share", Unit::share, &CallersSpec::try_share, "45%",
      "of its class's give-up time after which a try is given up", 0.05, 1},
     {"backoff", Unit::duration, &CallersSpec::backoff, "\"50ms\"", "before a caller's retry", 0, 60000},
+    {"together", Unit::duration, &CallersSpec::together, "\"0ms\"",
+     "retries leave at multiples of this, all at once; 0: each for itself", 0, 60000},
     {"honour", Unit::share, &CallersSpec::honour, "40%", "callers that keep to Retry-After", 0, 1},
     {"impatient", Unit::share, &CallersSpec::impatient, "0.5%", "callers that leave before a try is over", 0,
      1}};
@@ -152,7 +154,13 @@
      0, 1},
     {"held_back", Unit::share, &ExpectSpec::held_back, "100%",
      "tries whose refusal or failure was sat on while nothing was out, at most", 0, 1},
-    {"p99", Unit::duration, &ExpectSpec::p99, "any", "of the worst class, at most", 1, 600000}};
+    {"p99", Unit::duration, &ExpectSpec::p99, "any", "of the worst class, at most", 1, 600000},
+    {"onset", Unit::share, &ExpectSpec::onset, "0",
+     "of a rush: the worst of its first two seconds over its second half, at least", 0, 10},
+    {"settle", Unit::duration, &ExpectSpec::settle, "any",
+     "of a rush: until a second of it is within 0.9 of its second half, at most", 0, kLongest},
+    {"recover", Unit::duration, &ExpectSpec::recover, "any",
+     "after a rush: until a second is within 0.9 of what was before it, at most", 0, kLongest}};
 
 const std::map<std::string, FaultKind> kKinds{{"die", FaultKind::die},
                                               {"vanish", FaultKind::vanish},
@@ -182,16 +190,29 @@
      kLongest},
     {"who", Unit::words, &FaultSpec::who, "\"10%\"",
      "names (s-3; n-1 of a sidecar), a share (\"25%\"), a hall, or \"all\""},
-    {"pause", Unit::duration, &FaultSpec::pause, "\"150ms\"", "freeze: how long it stands still", 1, 60000},
-    {"every", Unit::duration, &FaultSpec::every, "\"2s\"", "freeze, neighbour: how often it comes on", 10,
-     600000},
+    {"pause", Unit::duration, &FaultSpec::pause, "\"150ms\"",
+     "freeze: how long it stands still; spikes: how long one is", 1, 60000},
+    {"every", Unit::duration, &FaultSpec::every, "\"2s\"", "freeze, neighbour, load: how often it comes on",
+     10, 600000},
     {"share", Unit::share, &FaultSpec::share, "50%", "fail-fast: of the requests; neighbour: of the machine",
      0, 0.99},
     {"delay", Unit::duration, &FaultSpec::delay, "\"5s\"", "list-late: further behind by this", 1, 600000},
     {"linger", Unit::duration, &FaultSpec::linger, "\"3s\"", "drain: from the drain to its end", 1, 600000},
     {"apart", Unit::duration, &FaultSpec::apart, "\"0s\"", "from one of the servers hit to the next", 0,
      600000},
-    {"times", Unit::number, &FaultSpec::times, "4", "load: multiple of the rate", 0, 100}};
+    {"times", Unit::number, &FaultSpec::times, "4", "load: multiple of the rate", 0, 100},
+    {"shape",
+     Unit::word,
+     &FaultSpec::shape,
+     "\"step\"",
+     "load: at once; ramp to `times` over `lasts`; doubling each `every` up to `times`; spikes of `pause` "
+     "each "
+     "`every`; square, on and off for half of `every`",
+     0,
+     0,
+     {"step", "ramp", "doubling", "spikes", "square"}},
+    {"only", Unit::word, &FaultSpec::only, "the usual mix",
+     "load: the class of what is asked beyond the usual"}};
 
 bool ends_the_process(FaultKind kind) {
     return kind == FaultKind::die || kind == FaultKind::vanish || kind == FaultKind::drain;
@@ -356,7 +377,11 @@
         if (f.name.empty()) f.name = f.kind_name;
         if (f.at >= incident.overview.length)
             problems.push_back({f.line, "fault " + std::to_string(i + 1) + ".at", "is after the end"});
-        if (f.kind == FaultKind::freeze && f.pause >= f.every)
+        if (!f.only.empty() && !names.contains(f.only))
+            problems.push_back({f.line, "fault " + std::to_string(i + 1) + ".only",
+                                "'" + f.only + "' is no class of this file"});
+        const bool pulses = f.kind == FaultKind::freeze || (f.kind == FaultKind::load && f.shape == "spikes");
+        if (pulses && f.pause >= f.every)
             problems.push_back(
                 {f.line, "fault " + std::to_string(i + 1) + ".pause", "must be shorter than 'every'"});
         if (hits_sidecars(f.kind) && f.lasts == 0) f.lasts = 1000;
--- a/src/rehearsal/incident.hpp
+++ b/src/rehearsal/incident.hpp
@@ -60,6 +60,7 @@
     std::uint64_t retries = 3;
     double try_share = 0.45;  // a try is given up after this share of its class's give-up time
     Millis backoff = 50;
+    Millis together = 0;       // retries leave at multiples of this, all at once; 0: each for itself
     double honour = 0.4;       // the share of callers that keep to Retry-After
     double impatient = 0.005;  // the share that leaves before its try is over
 };
@@ -100,6 +101,9 @@
     double answered = 0;      // share of requests that got any 200, at least
     double held_back = 1;     // share of tries answered without a server long after nothing was out
     Millis p99 = 1e9;         // of the worst class
+    // Of rushes (faults of kind load), see RushReport.
+    double onset = 0;  // at least
+    Millis settle = 1e9, recover = 1e9;
 };
 
 enum class FaultKind {
@@ -129,6 +133,8 @@
     double share = 0.5;
     Millis delay = 5000, linger = 3000, apart = 0;  // apart: between one server's drain and the next one's
     double times = 4;
+    std::string shape = "step";  // load: step, ramp, doubling, spikes, square
+    std::string only;            // load: the class of what is asked beyond the usual; none: the usual mix
 
     std::vector<std::uint32_t> hit;  // numbers of servers or sidecars, in order; filled by the check
     Millis begins(std::size_t nth) const { return at + apart * static_cast<double>(nth); }
--- a/src/rehearsal/report.cpp
+++ b/src/rehearsal/report.cpp
@@ -32,6 +32,9 @@
         expect(r, "held_back", e.held_back,
                r.tries > 0 ? static_cast<double>(r.held_back) / static_cast<double>(r.tries) : 0, true);
     if (e.p99 != none.p99) expect(r, "p99", e.p99, p99, true);
+    if (e.onset != none.onset) expect(r, "onset", e.onset, r.service.rush.onset, false);
+    if (e.settle != none.settle) expect(r, "settle", e.settle, r.service.rush.settle, true);
+    if (e.recover != none.recover) expect(r, "recover", e.recover, r.service.rush.recover, true);
 }
 
 std::string whom(const FaultSpec& f) {
@@ -112,6 +115,12 @@
         "; sat on {}; fell over {}\n",
         r.service.goodput, r.service.worst_class, r.service.worst_second, r.attempts_per_try, r.most_attempts,
         r.held_back, r.fallen);
+    if (const RushReport& rush = r.service.rush; rush.any)
+        t += fmt::format(
+            "  rush: goodput {:.3f} once settled, {:.3f} of that in the worse of its first two seconds; "
+            "settled after "
+            "{:.1f}s, recovered {:.1f}s after its end\n",
+            rush.settled, rush.onset, rush.settle / 1000, rush.recover / 1000);
     t += fmt::format("\n  {:<14}{:>8}{:>9}{:>7}{:>9}{:>8}{:>8}{:>8}{:>8}{:>8}\n", "class", "asked", "in aim",
                      "late", "refused", "failed", "p50", "p90", "p99", "max ms");
     for (const ClassReport& c : r.service.classes)
@@ -154,6 +163,9 @@
     j["worst_second"] = r.service.worst_second;
     j["answered"] = r.service.answered;
     j["attempts_per_try"] = r.attempts_per_try;
+    if (const RushReport& rush = r.service.rush; rush.any)
+        j["rush"] = {{"from_ms", rush.from}, {"to_ms", rush.to},         {"settled", rush.settled},
+                     {"onset", rush.onset},  {"settle_ms", rush.settle}, {"recover_ms", rush.recover}};
     for (const ClassReport& c : r.service.classes)
         j["classes"].push_back({{"name", c.name},
                                 {"asked", c.asked},
--- a/src/rehearsal/service.cpp
+++ b/src/rehearsal/service.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr Millis kTenth = 100;
 // Seconds with less than this part of the mean worth say too little to be the worst.
 constexpr double kThinSecond = 0.5;
 
@@ -22,7 +23,8 @@
       callers_(callers),
       classes_(incident.classes.size()),
       seconds_(static_cast<std::size_t>(std::ceil(incident.overview.length / 1000))),
-      servers_(incident.fleet.servers) {
+      servers_(incident.fleet.servers),
+      tenths_(static_cast<std::size_t>(std::ceil(incident.overview.length / kTenth))) {
     for (std::size_t i = 0; i < classes_.size(); ++i) classes_[i].name = incident.classes[i].name;
 }
 
@@ -44,12 +46,14 @@
     const double worth = incident_.classes[ask.class_index].worth * callers_.work(request);
     ++c.asked, ++second.asked;
     c.worth_asked += worth, second.worth_asked += worth;
+    Worth& tenth = tenths_[std::min(static_cast<std::size_t>(ask.at / kTenth), tenths_.size() - 1)];
+    tenth.asked += worth;
     if (answer == Answer::served) {
         const Millis took = now - ask.at;
         served_.push_back({static_cast<std::uint32_t>(index), ask.class_index, took});
         const bool in_aim = took <= incident_.classes[ask.class_index].aim;
         c.in_aim += in_aim, c.late += !in_aim, second.in_aim += in_aim;
-        if (in_aim) c.worth_got += worth, second.worth_got += worth;
+        if (in_aim) c.worth_got += worth, second.worth_got += worth, tenth.got += worth;
     } else if (answer == Answer::refused) {
         ++c.refused;
     } else {
@@ -59,6 +63,40 @@
 
 void Service::left(RequestNumber request) { ++classes_[callers_.ask(request).class_index].left; }
 
+double Service::goodput(Millis from, Millis to) const {
+    Worth sum;
+    const auto end = std::min(static_cast<std::size_t>(std::max(0.0, to) / kTenth + 0.5), tenths_.size());
+    for (auto i = static_cast<std::size_t>(std::max(0.0, from) / kTenth + 0.5); i < end; ++i)
+        sum.asked += tenths_[i].asked, sum.got += tenths_[i].got;
+    return sum.asked > 0 ? sum.got / sum.asked : 1;
+}
+
+RushReport Service::rush() const {
+    RushReport r;
+    const Millis length = incident_.overview.length;
+    for (const FaultSpec& f : incident_.faults) {
+        if (f.kind != FaultKind::load) continue;
+        const Millis to = f.lasts > 0 ? std::min(f.at + f.lasts, length) : length;
+        r.from = r.any ? std::min(r.from, f.at) : f.at;
+        r.to = r.any ? std::max(r.to, to) : to;
+        r.any = true;
+    }
+    if (!r.any) return r;
+    constexpr Millis kW = RushReport::kWindow;
+    r.settled = goodput((r.from + r.to) / 2, r.to);
+    const double worst =
+        std::min(goodput(r.from, r.from + kW), goodput(r.from + kW, std::min(r.from + 2 * kW, r.to)));
+    r.onset = r.settled > 0 ? worst / r.settled : 1;
+    const auto reached = [&](Millis from, Millis end, double figure) {
+        Millis at = from;
+        while (at + kTenth < end && goodput(at, at + kW) < figure * RushReport::kNear) at += kTenth;
+        return at - from;
+    };
+    r.settle = reached(r.from, r.to, r.settled);
+    r.recover = reached(r.to, length, r.from > 0 ? goodput(0, r.from) : 1);
+    return r;
+}
+
 Service::Report Service::report() const {
     Report r;
     r.classes = classes_;
@@ -88,6 +126,7 @@
         if (seconds_[i].worth_asked * static_cast<double>(seconds_.size()) >= asked * kThinSecond)
             r.worst_second = std::min(r.worst_second, seconds_[i].goodput());
     }
+    r.rush = rush();
     r.goodput = asked > 0 ? got / asked : 1;
     r.answered = requests > 0 ? static_cast<double>(served_.size()) / static_cast<double>(requests) : 1;
     return r;
--- a/src/rehearsal/service.hpp
+++ b/src/rehearsal/service.hpp
@@ -20,6 +20,20 @@
     Millis p50 = 0, p99 = 0;
     double goodput() const { return worth_asked > 0 ? worth_got / worth_asked : 1; }
 };
+// How a rush (from the first fault of kind load to the end of the last) was met, by the time at which
+// requests were first asked. Figures are of windows of kWindow; times count in steps of a tenth of a second.
+struct RushReport {
+    static constexpr Millis kWindow = 1000;
+    static constexpr double kNear = 0.9;  // of the figure that is to be reached
+
+    bool any = false;
+    Millis from = 0, to = 0;
+    double settled = 0;  // goodput of its second half
+    double onset = 0;    // the worst of its first two windows, over that
+    Millis settle = 0;   // from its begin until a window is near the settled figure
+    Millis recover =
+        0;  // from its end until a window is near what was before it; the rest of the run if none is
+};
 struct ServerSecond {
     std::uint32_t attempts = 0;
     float work = 0;  // ms of core time sent to it
@@ -39,10 +53,17 @@
         std::vector<SecondReport> seconds;
         std::vector<std::vector<ServerSecond>> servers;  // by server, then second
         double goodput = 0, worst_class = 0, worst_second = 0, answered = 0;
+        RushReport rush;
     };
     Report report() const;
 
 private:
+    RushReport rush() const;
+    double goodput(Millis from, Millis to) const;  // of what was asked in between; 1 of nothing
+
+    struct Worth {
+        double asked = 0, got = 0;
+    };
     struct Served {
         std::uint32_t second, class_index;
         Millis took;
@@ -53,6 +74,7 @@
     std::vector<SecondReport> seconds_;
     std::vector<std::vector<ServerSecond>> servers_;
     std::vector<Served> served_;
+    std::vector<Worth> tenths_;  // of seconds
 };
 
 }  // namespace elmbay::rehearsal
--- a/src/rehearsal/timeline.cpp
+++ b/src/rehearsal/timeline.cpp
@@ -1,6 +1,7 @@
 #include "rehearsal/timeline.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 #include "rehearsal/chance.hpp"
 
@@ -141,11 +142,20 @@
     return incident.registry.spread * random.unit();
 }
 
+double load_of(const Incident& incident, const FaultSpec& f, Millis at) {
+    const Millis lasts = f.lasts > 0 ? f.lasts : incident.overview.length - f.at;
+    if (f.kind != FaultKind::load || at < f.at || at >= f.at + lasts) return 1;
+    const Millis since = at - f.at;
+    if (f.shape == "ramp") return 1 + (f.times - 1) * since / lasts;
+    if (f.shape == "doubling") return std::min(f.times, std::exp2(since / f.every));
+    if (f.shape == "spikes") return std::fmod(since, f.every) < f.pause ? f.times : 1;
+    if (f.shape == "square") return std::fmod(since, f.every) < f.every / 2 ? f.times : 1;
+    return f.times;
+}
+
 double load_at(const Incident& incident, Millis at) {
     double times = 1;
-    for (const FaultSpec& f : incident.faults)
-        if (f.kind == FaultKind::load && at >= f.at && (f.lasts == 0 || at < f.at + f.lasts))
-            times *= f.times;
+    for (const FaultSpec& f : incident.faults) times *= load_of(incident, f, at);
     return times;
 }
 
--- a/src/rehearsal/timeline.hpp
+++ b/src/rehearsal/timeline.hpp
@@ -49,5 +49,7 @@
 
 // The rate that callers ask at, as a multiple of the usual one: faults of kind load together.
 double load_at(const Incident& incident, Millis at);
+// Of one of them alone; 1 while it does not hold.
+double load_of(const Incident& incident, const FaultSpec& fault, Millis at);
 
 }  // namespace elmbay::rehearsal
--- a/src/rehearsal/virtual_run.cpp
+++ b/src/rehearsal/virtual_run.cpp
@@ -276,6 +276,7 @@
         n.idle.assign(archive_.count(), {});
         const std::uint64_t seed = stream(incident_.overview.seed, Purpose::balancer, who, n.life).next();
         n.decider = make_balancer(options_.balancer, incident_.settings(who), seed);
+        n.decider->see(archive_);
         give(who, Started{});
         ServerList list{ListKind::saved, {}};
         for (const ServerInfo& info : listed_) {
