--- /dev/null
+++ b/src/rehearsal/sweep.hpp
@@ -0,0 +1,73 @@
+// One incident over many seeds, and over values of one of its keys: mean, spread and worst of each figure,
+// and whether two balancers (or two builds) differ by more than chance. Runs in virtual time, spread over the
+// cores; the same seeds give the same figures whatever the number of threads.
+#pragma once
+
+#include <functional>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "rehearsal/report.hpp"
+
+namespace elmbay::rehearsal {
+
+struct SweepOptions {
+    static constexpr std::uint64_t kMostSeeds = 10000;
+
+    std::string balancer = "elmbay";
+    std::uint64_t first_seed = 1, seeds = 20;
+    std::string key;  // "callers.rate", "fault.1.times" (lists count from 1); none: no key is varied
+    std::vector<std::string> values;  // of that key, as they would stand in the file
+    bool oracle = false;   // also what the oracles reach (see balancers.hpp), the best of them in the mean
+    unsigned threads = 0;  // 0: one for each core
+    std::function<void(double)> progress{};
+};
+
+// One figure of every run, in order of the seeds.
+struct SweepFigure {
+    std::string name;
+    std::vector<double> values;
+};
+struct SweepRow {
+    std::string value;         // of the key varied; empty without one
+    std::uint64_t broken = 0;  // runs in which a rule was broken
+    std::vector<SweepFigure> figures;
+    std::string oracle;              // the best one's name, if it was asked for
+    std::vector<SweepFigure> bound;  // and its figures
+    const SweepFigure* figure(const std::string& name) const;
+};
+struct Sweep {
+    std::string incident, balancer, key;
+    std::uint64_t first_seed = 1, seeds = 0;
+    std::vector<SweepRow> rows;
+    bool rules_kept() const;
+};
+
+// text: the incident's file. Throws IncidentError for a file (with a value put in) that can't be used, and
+// std::invalid_argument for a key that names nothing, no seeds, or a balancer that does not exist.
+Sweep run_sweep(const std::string& text, const std::string& name, const SweepOptions& options);
+// The file with one value put in place of another, or added. Throws std::invalid_argument.
+std::string with_value(const std::string& text, const std::string& key, const std::string& value);
+
+struct Spread {
+    double mean = 0, deviation = 0, least = 0, most = 0;  // deviation: of the sample, n - 1
+};
+Spread spread_of(const std::vector<double>& values);
+
+// Of two lists of the same seeds: the mean of b - a and how far chance alone may move it (Student's t, 95%,
+// paired).
+struct Paired {
+    double mean = 0, chance = 0;
+    bool differs() const { return mean < -chance || mean > chance; }
+};
+Paired paired(const std::vector<double>& a, const std::vector<double>& b);
+
+std::string text_of(const Sweep& sweep);
+nlohmann::ordered_json json_of(const Sweep& sweep);
+Sweep sweep_from_json(const std::string& text);  // throws std::invalid_argument
+std::string page_of(const Sweep& sweep);         // one self-contained HTML file
+// Throws std::invalid_argument unless both are of one incident, key and seeds.
+std::string comparison_of(const Sweep& a, const Sweep& b);
+
+}  // namespace elmbay::rehearsal
--- a/tools/rehearsal/main.cpp
+++ b/tools/rehearsal/main.cpp
@@ -12,6 +12,7 @@
 #include "rehearsal/balancers.hpp"
 #include "rehearsal/real/real_run.hpp"
 #include "rehearsal/report.hpp"
+#include "rehearsal/sweep.hpp"
 #include "rehearsal/virtual_run.hpp"
 
 namespace {
@@ -41,17 +42,19 @@
     if (!file) throw std::runtime_error(path + ": can't be written");
 }
 
-// A bundled name, or a file.
-Incident load(const std::string& which, std::optional<std::uint64_t> seed) {
+// A bundled name, or a file: its text, its name for messages, and the incident's own.
+struct Source {
+    std::string text, file, name;
+};
+Source source_of(const std::string& which) {
     for (const Bundled& b : bundled())
-        if (b.name == which) {
-            Incident incident = parse_incident(b.text, b.name + ".toml", seed);
-            incident.name = b.name;
-            return incident;
-        }
-    Incident incident = parse_incident(read_file(which), which, seed);
-    const auto slash = which.rfind('/');
-    incident.name = which.substr(slash == std::string::npos ? 0 : slash + 1);
+        if (b.name == which) return {b.text, b.name + ".toml", b.name};
+    return {read_file(which), which, std::filesystem::path(which).filename().string()};
+}
+Incident load(const std::string& which, std::optional<std::uint64_t> seed) {
+    const Source source = source_of(which);
+    Incident incident = parse_incident(source.text, source.file, seed);
+    incident.name = source.name;
     return incident;
 }
 
@@ -61,6 +64,7 @@
     std::optional<std::uint64_t> seed;
     std::string json, html, log, sidecar, folder;
     bool real = false, quiet = false;
+    SweepOptions sweep;  // of `sweep`, and of `compare` over seeds
 };
 
 std::function<void(double)> progress_bar(bool quiet) {
@@ -104,6 +108,8 @@
 }
 
 int run(const RunOptions& o) {
+    if (o.real && o.balancer != "elmbay")
+        throw UseError("--balancer is for virtual time; with --real, --sidecar names the program");
     const Incident incident = load(o.incident, o.seed);
     const Report report =
         o.real ? play_real(incident, o.sidecar, o) : play(incident, o.balancer, o.log, o.quiet);
@@ -133,11 +139,41 @@
 
 bool is_report(const std::string& name) { return name.ends_with(".json"); }
 bool is_balancer(const std::string& name) {
+    for (const std::string& oracle : oracle_names())
+        if (oracle == name) return true;
     for (const BalancerName& b : balancer_names())
         if (b.name == name) return true;
     return false;
 }
 
+int sweep(const RunOptions& o) {
+    const Source source = source_of(o.incident);
+    SweepOptions options = o.sweep;
+    options.balancer = o.balancer;
+    options.progress = progress_bar(o.quiet);
+    const Sweep result = run_sweep(source.text, source.name, options);
+    if (!o.json.empty()) write_file(o.json, json_of(result).dump(1) + "\n");
+    if (!o.html.empty()) write_file(o.html, page_of(result));
+    std::cout << text_of(result);
+    return result.rules_kept() ? kKept : kBroken;
+}
+
+// Two balancers, or two sweeps written by --json, over the same seeds.
+int compare_sweeps(const std::string& a, const std::string& b, const RunOptions& o) {
+    if (o.real) throw UseError("--seeds is for virtual time; sockets are compared run by run");
+    const auto get = [&](const std::string& which) {
+        if (is_report(which)) return sweep_from_json(read_file(which));
+        const Source source = source_of(o.incident);
+        SweepOptions options = o.sweep;
+        options.balancer = which;
+        options.progress = progress_bar(o.quiet);
+        return run_sweep(source.text, source.name, options);
+    };
+    const Sweep first = get(a), second = get(b);
+    std::cout << comparison_of(first, second);
+    return first.rules_kept() && second.rules_kept() ? kKept : kBroken;
+}
+
 int compare(const std::string& a, const std::string& b, const RunOptions& o) {
     std::optional<Incident> incident;
     const auto get = [&](const std::string& which) {
@@ -177,11 +213,9 @@
     RunOptions o;
     CLI::App* run_command = app.add_subcommand("run", "plays an incident and gives the verdict");
     run_command->add_option("incident", o.incident, "a file, or a name from `list`")->capture_default_str();
-    CLI::Option* balancer =
-        run_command->add_option("--balancer", o.balancer, "who decides")->capture_default_str();
+    run_command->add_option("--balancer", o.balancer, "who decides")->capture_default_str();
     CLI::Option* real = run_command->add_flag(
         "--real,!--virtual", o.real, "on sockets, in real time, round real sidecars; else simulated");
-    real->excludes(balancer);
     run_command->add_option("--sidecar", o.sidecar, "the command that starts one; else the elmbay built here")
         ->needs(real);
     run_command->add_option("--folder", o.folder, "keep the sidecars' configurations and logs here")
@@ -192,6 +226,20 @@
     run_command->add_option("--log", o.log, "every event, a line each, to this file");
     run_command->add_flag("--quiet", o.quiet, "no progress");
     run_command->footer(balancer_help());
+    CLI::App* sweep_command =
+        app.add_subcommand("sweep", "one incident over many seeds, or over values of one of its keys");
+    sweep_command->add_option("incident", o.incident, "a file, or a name from `list`")->capture_default_str();
+    sweep_command->add_option("--balancer", o.balancer, "who decides")->capture_default_str();
+    CLI::Option* key = sweep_command->add_option(
+        "--key", o.sweep.key, "the key to vary, such as callers.rate or fault.1.times (lists count from 1)");
+    sweep_command->add_option("--values", o.sweep.values, "its values, separated by commas")
+        ->delimiter(',')
+        ->needs(key);
+    sweep_command->add_flag("--oracle", o.sweep.oracle, "also what is possible: the best of the oracles");
+    sweep_command->add_option("--threads", o.sweep.threads, "0: one for each core")->capture_default_str();
+    sweep_command->add_option("--json", o.json, "all figures as JSON, to this file");
+    sweep_command->add_option("--html", o.html, "a page with plots, to this file");
+    sweep_command->add_flag("--quiet", o.quiet, "no progress");
     CLI::App* list_command = app.add_subcommand("list", "the incidents that come along");
     std::string checked;
     CLI::App* check_command = app.add_subcommand("check", "whether a file is sound, without playing it");
@@ -207,6 +255,13 @@
         ->capture_default_str();
     compare_command->add_option("--seed", o.seed, "in place of the file's");
     compare_command->add_flag("--quiet", o.quiet, "no progress");
+    CLI::Option* seeds = nullptr;
+    for (CLI::App* command : {sweep_command, compare_command}) {
+        seeds = command->add_option("--seeds", o.sweep.seeds, "how many")
+                    ->capture_default_str()
+                    ->check(CLI::Range(std::uint64_t{1}, SweepOptions::kMostSeeds));
+        command->add_option("--first-seed", o.sweep.first_seed, "the first of them")->capture_default_str();
+    }
 
     try {
         app.parse(argc, argv);
@@ -220,7 +275,8 @@
             std::cout << incident_manual();
             return kKept;
         }
-        if (*compare_command) return compare(a, b, o);
+        if (*sweep_command) return sweep(o);
+        if (*compare_command) return seeds->count() > 0 ? compare_sweeps(a, b, o) : compare(a, b, o);
         if (*run_command) return run(o);
     } catch (const IncidentError& error) {
         std::cerr << error.what();
