--- a/bench/policy_cost.cpp
+++ b/bench/policy_cost.cpp
@@ -1,8 +1,8 @@
-// What one request costs in the decision module: nanoseconds and allocations, by servers and by requests out at once.
-// Usage: policy_cost [--benchmark_filter=...]   (Google Benchmark; built with -DELMBAY_BENCH=ON)
+// What one request costs in the decision module: nanoseconds and allocations, by servers and by requests out
+// at once. Usage: policy_cost [--benchmark_filter=...]   (Google Benchmark; built with -DELMBAY_BENCH=ON)
 //
-// Each turn ends the oldest request with a completed answer and takes a new one, so that `out` stay out. Time passes
-// as if each took 40 ms. Only the public interface is used: the same file measures an older module.
+// Each turn ends the oldest request with a completed answer and takes a new one, so that `out` stay out. Time
+// passes as if each took 40 ms. Only the public interface is used: the same file measures an older module.
 #include <benchmark/benchmark.h>
 
 #include <cstdlib>
@@ -17,13 +17,13 @@
 
 }  // namespace
 
-void* operator new(std::size_t size) {
+[[gnu::noinline]] void* operator new(std::size_t size) {
     ++allocations;
     if (void* p = std::malloc(size)) return p;
     throw std::bad_alloc();
 }
-void operator delete(void* p) noexcept { std::free(p); }
-void operator delete(void* p, std::size_t) noexcept { std::free(p); }
+[[gnu::noinline]] void operator delete(void* p) noexcept { std::free(p); }
+[[gnu::noinline]] void operator delete(void* p, std::size_t) noexcept { std::free(p); }
 
 namespace {
 
