Cost of the decision module: every action is carried out, timers fire at their time

The first version of bench/policy_cost.cpp left sends out that came with an answer, so what it measured was a module that was held up.

--- a/bench/policy_cost.cpp
+++ b/bench/policy_cost.cpp
@@ -29,7 +29,7 @@
 
 using namespace hollybeam;
 
-constexpr Millis kAnswer = 40;
+constexpr Millis kAnswer = 40, kLeft = 1000;
 
 void one_request(benchmark::State& state) {
     const auto servers = static_cast<ServerId>(state.range(0));
@@ -41,48 +41,49 @@
     Balancer balancer(settings, 1);
     std::vector<Action> actions;
     Millis now = 1e9;
-    balancer.handle(now, Started{}, actions);
-    ServerList list;
-    for (ServerId i = 1; i <= servers; ++i) list.servers.push_back({i, i % 3, 0, 0, Phase::on, 0});
-    balancer.handle(now, list, actions);
-    std::deque<RequestId> open;
+    struct Open {
+        RequestId id;
+        Millis since;
+    };
+    std::deque<Open> open;
+    std::deque<SetTimer> holds, deadlines;  // each in order of time
     RequestId next = 1;
-    std::uint64_t unsent = 0;
-    std::deque<TimerToken> timers;
-    const auto take = [&] {
+    std::uint64_t refused = 0;
+    const auto give = [&](const Event& event) {
         actions.clear();
-        balancer.handle(now, RequestArrived{next, 0, {}, 1000}, actions);
-        bool sent = false;
+        balancer.handle(now, event, actions);
         for (const Action& a : actions) {
-            sent = sent || std::holds_alternative<Send>(a);
-            if (const auto* t = std::get_if<SetTimer>(&a)) timers.push_back(t->token);
-        }
-        if (sent)
-            open.push_back(next);
-        else
-            ++unsent;
-        ++next;
-    };
-    const auto serve = [&] {
-        actions.clear();
-        balancer.handle(now, AttemptEnded{open.front(), 0, Outcome::completed, kAnswer, true}, actions);
-        open.pop_front();
-        if (timers.size() > 4 * out + 100) {  // a deadline's timer fires long after its request has ended
-            balancer.handle(now, TimerFired{timers.front()}, actions);
-            timers.pop_front();
+            if (const auto* send = std::get_if<Send>(&a)) open.push_back({send->id, now});
+            if (const auto* t = std::get_if<SetTimer>(&a))
+                (t->at - now < kLeft / 2 ? holds : deadlines).push_back(*t);
+            refused += std::holds_alternative<Refuse>(a);
         }
     };
+    give(Started{});
+    ServerList list;
+    for (ServerId i = 1; i <= servers; ++i) list.servers.push_back({i, i % 3, 0, 0, Phase::on, 0});
+    give(list);
     const auto turn = [&] {
         now += kAnswer / static_cast<double>(out);
-        if (open.size() >= out) serve();
-        take();
+        for (auto* timers : {&holds, &deadlines})
+            while (!timers->empty() && timers->front().at <= now) {
+                const TimerToken token = timers->front().token;
+                timers->pop_front();
+                give(TimerFired{token});
+            }
+        while (!open.empty() && now >= open.front().since + kAnswer) {
+            const RequestId id = open.front().id;
+            open.pop_front();
+            give(AttemptEnded{id, 0, Outcome::completed, kAnswer, true});
+        }
+        give(RequestArrived{next++, 0, {}, kLeft});
     };
     for (std::size_t i = 0; i < 20 * out + 2000; ++i) turn();  // learnt, and the pool at its width
     allocations = 0;
     for (auto _ : state) turn();
     state.counters["allocations"] =
         benchmark::Counter(static_cast<double>(allocations), benchmark::Counter::kAvgIterations);
-    state.counters["unsent"] = static_cast<double>(unsent);
+    state.counters["refused"] = static_cast<double>(refused) / static_cast<double>(next);
 }
 
 BENCHMARK(one_request)->ArgNames({"servers", "out"})->ArgsProduct({{10, 200, 2000}, {1, 100}});
