--- a/tests/policy/property_test.cpp
+++ b/tests/policy/property_test.cpp
@@ -97,7 +97,7 @@
         rig.settle();
         RC_ASSERT(!::testing::Test::HasFailure());
     });
-    EXPECT_GT(events, 900000U);
+    EXPECT_GT(events, 1000000U);
     EXPECT_TRUE(kept);
 }
 
