Admission: the ceiling is taught by the servers of the same mean as the load

The mean number of warm servers is now kept over the same answers as the load, and the two together teach the ceiling.

The list of held requests named finished ones until an answer or a list came, without a bound where neither came. It is purged once they could be half of it; held().waiting counts it.

--- a/include/hollybeam/balancer.hpp
+++ b/include/hollybeam/balancer.hpp
@@ -170,9 +170,10 @@
     // Appends to actions. Events about unknown or finished things have no effect.
     void handle(Millis now, const Event& event, std::vector<Action>& actions);
 
-    // Requests, servers and timers held at present: what this instance costs in memory.
+    // What this instance costs in memory: requests, servers and timers held at present, and the length of the
+    // list of those that wait for room, at most twice the requests and 64.
     struct Held {
-        std::size_t requests = 0, servers = 0, timers = 0;
+        std::size_t requests = 0, servers = 0, timers = 0, waiting = 0;
     };
     Held held() const;
 
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -1,7 +1,5 @@
 #include "policy/admission.hpp"
 
-#include <utility>
-
 namespace hollybeam {
 
 Admission::Admission(const Settings& settings) : each_(kFloor / std::max(1U, settings.siblings)) {
@@ -11,9 +9,7 @@
 // Where slow service alone takes that long, refusing more does not help and idles the servers: one attempt
 // for each warm live server is always allowed, and with many sidecars our part of kFloor.
 void Admission::pool_is(std::size_t warm) {
-    const double before = std::exchange(warm_, static_cast<double>(warm));
-    if (warm_ < before)
-        load_ *= warm_ / before;  // what was out at those that have gone teaches nothing of the rest
+    warm_ = static_cast<double>(warm);
     floor_ = our_part() * warm_;
     least_ceiling_ = std::max(kOpen, kBelieved * each_ * warm_);
     room_ = std::max(room_, std::min(floor_, kOpen));
@@ -27,8 +23,9 @@
     crowd_.add(ratio, now, kMemory);
     answers_.add(now, kMemory);
     load_ += (out + 1 - load_) / answers_.count;
+    carriers_ += (warm_ - carriers_) / answers_.count;
     const double could = load_ * kAimShare / std::max(kLeastShare, crowd_.value);
-    if (crowd_.value <= kAimShare && could >= learned_) learned_ = could, taught_by_ = warm_;
+    if (crowd_.value <= kAimShare && could >= learned_) learned_ = could, taught_by_ = carriers_;
     used_ = std::max<double>(used_ + (out - used_) * 2 / kUsedOver, out);
     if (light() && room_ <= kOpen && breaker(ratio, out)) return;
     const double step = kGain * (kAimShare - crowd_.value);
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -30,8 +30,9 @@
 
 namespace {
 
-constexpr double kHold = 1.0 / 16;     // of the aim: what cannot go out by then had better be tried anew
-constexpr Millis kResubscribe = 1000;  // first wait after a failed call for the list; doubles up to 8 of it
+constexpr double kHold = 1.0 / 16;      // of the aim: what cannot go out by then had better be tried anew
+constexpr std::size_t kHeldSlack = 64;  // finished ones that the list of held requests may always name
+constexpr Millis kResubscribe = 1000;   // first wait after a failed call for the list; doubles up to 8 of it
 
 bool proves_never_ran(Outcome o) {
     return o == Outcome::saturated || o == Outcome::refused_connection || o == Outcome::superseded;
@@ -66,7 +67,7 @@
     std::uint64_t next_token = 1, next_order = 0;
     Millis resubscribe = kResubscribe;
     int outstanding = 0;                // at servers that were warm when asked
-    std::vector<RequestId> held, done;  // may name finished ones; ended during this event
+    std::vector<RequestId> held, done;  // may name finished ones, see purge_held(); ended during this event
 
     void act(Action action) { actions->push_back(std::move(action)); }
 
@@ -298,6 +299,17 @@
             if (it != requests.end() && it->second.ended && !it->second.any_out()) requests.erase(it);
         }
         done.clear();
+        purge_held();
+    }
+
+    // With no server at all, or a light sidecar's breaker closed, nothing is released and finished ones would
+    // stay listed for as long. They go once they could be half of the list: a step an event in the mean.
+    void purge_held() {
+        if (held.size() <= 2 * requests.size() + kHeldSlack) return;
+        std::erase_if(held, [&](RequestId id) {
+            const auto it = requests.find(id);
+            return it == requests.end() || it->second.ended;
+        });
     }
 
     // ---- Timers -----------------------------------------------------------------------------------------
@@ -336,7 +348,7 @@
 }
 
 Balancer::Held Balancer::held() const {
-    return {impl_->requests.size(), impl_->servers.size(), impl_->timers.size()};
+    return {impl_->requests.size(), impl_->servers.size(), impl_->timers.size(), impl_->held.size()};
 }
 
 }  // namespace hollybeam
--- a/src/rehearsal/service.cpp
+++ b/src/rehearsal/service.cpp
@@ -11,11 +11,6 @@
 // Seconds with less than this part of the mean worth say too little to be the worst.
 constexpr double kThinSecond = 0.5;
 
-Millis quantile(const std::vector<Millis>& sorted, double q) {
-    if (sorted.empty()) return 0;
-    return sorted[static_cast<std::size_t>(q * static_cast<double>(sorted.size() - 1) + 0.5)];
-}
-
 }  // namespace
 
 Service::Service(const Incident& incident, const Callers& callers)
@@ -24,6 +19,8 @@
       classes_(incident.classes.size()),
       seconds_(static_cast<std::size_t>(std::ceil(incident.overview.length / 1000))),
       servers_(incident.fleet.servers),
+      by_class_(classes_.size()),
+      by_second_(seconds_.size()),
       tenths_(static_cast<std::size_t>(std::ceil(incident.overview.length / kTenth))) {
     for (std::size_t i = 0; i < classes_.size(); ++i) classes_[i].name = incident.classes[i].name;
 }
@@ -50,7 +47,8 @@
     tenth.asked += worth;
     if (answer == Answer::served) {
         const Millis took = now - ask.at;
-        served_.push_back({static_cast<std::uint32_t>(index), ask.class_index, took});
+        by_class_[ask.class_index].add(took);
+        by_second_[index].add(took);
         const bool in_aim = took <= incident_.classes[ask.class_index].aim;
         c.in_aim += in_aim, c.late += !in_aim, second.in_aim += in_aim;
         if (in_aim) c.worth_got += worth, second.worth_got += worth, tenth.got += worth;
@@ -102,33 +100,27 @@
     r.classes = classes_;
     r.seconds = seconds_;
     r.servers = servers_;
-    std::vector<std::vector<Millis>> by_class(classes_.size()), by_second(seconds_.size());
-    for (const Served& s : served_) {
-        by_class[s.class_index].push_back(s.took);
-        by_second[s.second].push_back(s.took);
-    }
     double asked = 0, got = 0;
-    std::uint64_t requests = 0;
+    std::uint64_t requests = 0, served = 0;
     r.worst_class = r.worst_second = 1;
     for (std::size_t i = 0; i < classes_.size(); ++i) {
-        auto& took = by_class[i];
-        std::sort(took.begin(), took.end());
+        const Latency& took = by_class_[i];
         ClassReport& c = r.classes[i];
-        c.p50 = quantile(took, 0.5), c.p90 = quantile(took, 0.9), c.p99 = quantile(took, 0.99);
-        c.most = took.empty() ? 0 : took.back();
+        c.p50 = took.quantile(0.5), c.p90 = took.quantile(0.9), c.p99 = took.quantile(0.99);
+        c.most = took.most();
+        served += took.count();
         asked += c.worth_asked, got += c.worth_got;
         requests += c.asked;
         r.worst_class = std::min(r.worst_class, c.goodput());
     }
     for (std::size_t i = 0; i < seconds_.size(); ++i) {
-        std::sort(by_second[i].begin(), by_second[i].end());
-        r.seconds[i].p50 = quantile(by_second[i], 0.5), r.seconds[i].p99 = quantile(by_second[i], 0.99);
+        r.seconds[i].p50 = by_second_[i].quantile(0.5), r.seconds[i].p99 = by_second_[i].quantile(0.99);
         if (seconds_[i].worth_asked * static_cast<double>(seconds_.size()) >= asked * kThinSecond)
             r.worst_second = std::min(r.worst_second, seconds_[i].goodput());
     }
     r.rush = rush();
     r.goodput = asked > 0 ? got / asked : 1;
-    r.answered = requests > 0 ? static_cast<double>(served_.size()) / static_cast<double>(requests) : 1;
+    r.answered = requests > 0 ? static_cast<double>(served) / static_cast<double>(requests) : 1;
     return r;
 }
 
--- a/src/rehearsal/service.hpp
+++ b/src/rehearsal/service.hpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "rehearsal/callers.hpp"
+#include "rehearsal/latency.hpp"
 
 namespace elmbay::rehearsal {
 
@@ -64,17 +65,13 @@
     struct Worth {
         double asked = 0, got = 0;
     };
-    struct Served {
-        std::uint32_t second, class_index;
-        Millis took;
-    };
     const Incident& incident_;
     const Callers& callers_;
     std::vector<ClassReport> classes_;
     std::vector<SecondReport> seconds_;
     std::vector<std::vector<ServerSecond>> servers_;
-    std::vector<Served> served_;
-    std::vector<Worth> tenths_;  // of seconds
+    std::vector<Latency> by_class_, by_second_;  // of served requests
+    std::vector<Worth> tenths_;                  // of seconds
 };
 
 }  // namespace elmbay::rehearsal
--- a/tests/policy/balancer_test.cpp
+++ b/tests/policy/balancer_test.cpp
@@ -392,6 +392,22 @@
     rig.settle();
 }
 
+// Without purge_held() the list grows by one a request until a server comes.
+TEST(BadInput, WithNoServerForLongTheListOfWaitingStaysShort) {
+    Rig rig = fleet(2);
+    rig.list(ListKind::full, {});
+    for (int i = 0; i < 5000; ++i) {
+        rig.request(0, 300);
+        rig.pass(5);
+        ASSERT_LE(rig.balancer.held().waiting, 2 * rig.balancer.held().requests + 64);
+    }
+    const RequestId last = rig.request(0, 300);
+    rig.list(ListKind::full, make_servers(1));
+    EXPECT_TRUE(rig.out(last)) << "the one that waits is still there";
+    rig.end(last, Outcome::completed);
+    rig.settle();
+}
+
 TEST(Settings, SenselessOnesAreNamed) {
     const auto complaint = [](auto change) {
         Settings s = make_settings();
--- a/tests/policy/parts_test.cpp
+++ b/tests/policy/parts_test.cpp
@@ -342,6 +342,22 @@
     EXPECT_NEAR(places(a, kNow + 50000), all / 2.0, all / 8.0);
 }
 
+// Servers that are removed and restored all the time, as those that fail fast are, carry as much as ever.
+TEST(AdmissionPart, ServersThatComeAndGoTeachNoSmallerCeiling) {
+    Admission steady(settings_of(4)), coming_and_going(settings_of(4));
+    for (int i = 0; i < 12000; ++i) {
+        const Millis now = kNow + i * 10;
+        steady.pool_is(12);
+        if (i % 100 == 0) coming_and_going.pool_is(8);
+        coming_and_going.pool_is(12);
+        steady.answered(0.1, 39, now);
+        coming_and_going.answered(0.1, 39, now);
+    }
+    const Millis end = kNow + 120000;
+    EXPECT_GE(static_cast<double>(places(coming_and_going, end)),
+              0.95 * static_cast<double>(places(steady, end)));
+}
+
 TEST(AdmissionPart, LateAnswersShrinkItToTheFloorAndNotBelow) {
     Admission a(settings_of(4));
     a.pool_is(12);
--- a/tests/policy/property_test.cpp
+++ b/tests/policy/property_test.cpp
@@ -92,6 +92,7 @@
             const std::uint64_t draw = random.next();
             play(rig, Step{draw, draw >> 8, draw >> 24});
             RC_ASSERT(!::testing::Test::HasFailure());
+            RC_ASSERT(rig.balancer.held().waiting <= 2 * rig.balancer.held().requests + 64);
         }
         events += static_cast<std::size_t>(steps);
         rig.settle();
