What a sidecar has learned is a value, and its next life believes it with care

Need: a sidecar that restarts sends full traffic to servers that it had found failing, and finds its room anew.

Servers' and kinds' pace is not kept: a property test found that a server remembered as slow was never asked again under light traffic.

--- a/include/hollybeam/balancer.hpp
+++ b/include/hollybeam/balancer.hpp
@@ -13,6 +13,8 @@
 #include <variant>
 #include <vector>
 
+#include "hollybeam/knowledge.hpp"
+
 namespace hollybeam {
 
 using Millis = double;
@@ -96,6 +98,12 @@
     ListKind kind = ListKind::full;
     std::vector<ServerInfo> servers{};
 };
+// What an earlier life of this sidecar had learned, before the first list. age: since it was taken, downtime
+// and all; less than 0: not known, and nothing of it is believed.
+struct Remembered {
+    Knowledge knowledge{};
+    Millis age = -1;
+};
 struct RequestArrived {
     RequestId id = 0;                       // never used twice
     std::uint32_t class_index = 0;          // into Settings::classes; out of range: handled with most care
@@ -122,8 +130,8 @@
 struct TimerFired {
     TimerToken token = 0;
 };
-using Event =
-    std::variant<Started, ServerList, RequestArrived, FirstByte, AttemptEnded, ClientGone, TimerFired>;
+using Event = std::variant<Started, Remembered, ServerList, RequestArrived, FirstByte, AttemptEnded,
+                           ClientGone, TimerFired>;
 
 // ---- Actions --------------------------------------------------------------------------------------------
 // A caller must be able to carry out all of them.
@@ -177,6 +185,9 @@
     };
     Held held() const;
 
+    // What it has learned, to be given to the next life. Linear in the servers; changes nothing.
+    Knowledge knowledge(Millis now) const;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> impl_;
--- /dev/null
+++ b/src/base/knowledge.hpp
@@ -0,0 +1,15 @@
+// Whether remembered figures make sense; what follows from them is decided under src/policy.
+#pragma once
+
+#include "hollybeam/knowledge.hpp"
+
+namespace hollybeam {
+
+// Each field in the range that knowledge.hpp states; one that was not, or was not finite, is as if it had not
+// been known. At most kMostRememberedServers, the first
+// of them.
+Knowledge sound(Knowledge knowledge);
+
+constexpr std::size_t kMostRememberedServers = 4096;  // twice what a sidecar lists
+
+}  // namespace hollybeam
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -1,5 +1,7 @@
 #include "policy/admission.hpp"
 
+#include "policy/memory.hpp"
+
 namespace hollybeam {
 
 Admission::Admission(const Settings& settings) : each_(kFloor / std::max(1U, settings.siblings)) {
@@ -41,6 +43,21 @@
     return std::max(least_ceiling_, learned_ * std::min(1.0, warm_ / std::max(1.0, taught_by_)));
 }
 
+void Admission::know(Knowledge& k, Millis now) const {
+    k.crowd = Memory::of(crowd_, now);
+    k.room = crowd_.count > 0 ? room(now) : 0;
+    k.learned = learned_ * std::exp((at_ - now) / kLearned);
+    k.taught_by = taught_by_;
+}
+
+// The ceiling fades as ever. The room is as good as the answers that it follows: once these weigh less than
+// one, a new sidecar's is better.
+void Admission::recall(const Knowledge& k, Millis taken_at, Millis now) {
+    learned_ = k.learned, taught_by_ = k.taught_by, at_ = taken_at;
+    const Recent crowd = Memory::recalled(k.crowd, taken_at);
+    if (k.room > 0 && crowd.left(now, kMemory) >= 1) crowd_ = crowd, room_ = used_ = k.room;
+}
+
 // Whether the answer opens or closes it. One that is late among quick ones is chance and closes nothing.
 bool Admission::breaker(double ratio, int out) {
     if (ratio >= 1 && crowd_.value > kAimShare)
--- a/src/policy/admission.hpp
+++ b/src/policy/admission.hpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "hollybeam/knowledge.hpp"
 #include "policy/fading.hpp"
 
 namespace hollybeam {
@@ -47,6 +48,9 @@
 
     explicit Admission(const Settings& settings);
 
+    // What has been learned, into and out of a value; an earlier life's counts as of the time it was taken.
+    void know(Knowledge& k, Millis now) const;
+    void recall(const Knowledge& k, Millis taken_at, Millis now);
     // The pool has so many warm servers.
     void pool_is(std::size_t warm);
     // A warm server answered; ratio: the time it took over its aim. out: attempts still out with it.
--- a/src/policy/aperture.hpp
+++ b/src/policy/aperture.hpp
@@ -33,6 +33,8 @@
     // A verdict has taken it out of the pool or put it back: draw() comes next.
     void set_out(Server* s, bool out);
 
+    // An earlier life had it at so many a ms at that time.
+    void recall(double rate, Millis at) { carried_ = {rate * kRateMemory, at}; }
     // A warm server has completed a request.
     void completed(Millis now) { carried_.add(now, kRateMemory); }
     double carried_rate(Millis now) const { return carried_.left(now, kRateMemory) / kRateMemory; }  // a ms
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <unordered_map>
 
+#include "base/knowledge.hpp"
 #include "base/random.hpp"
 #include "base/settings.hpp"
 #include "policy/admission.hpp"
@@ -21,6 +22,7 @@
 #include "policy/cold_start.hpp"
 #include "policy/ejection.hpp"
 #include "policy/fairness.hpp"
+#include "policy/memory.hpp"
 #include "policy/pace.hpp"
 #include "policy/pick.hpp"
 #include "policy/request.hpp"
@@ -57,6 +59,7 @@
     Admission admission{settings};
     Fairness fairness{settings.tenants};
     RetryBudget retry_budget;
+    Memory memory;
     Pick pick{settings, random, pace};
 
     Millis now = 0;
@@ -66,7 +69,8 @@
     std::unordered_map<TimerToken, std::optional<RequestId>> timers;  // none: the list's
     std::uint64_t next_token = 1, next_order = 0;
     Millis resubscribe = kResubscribe;
-    int outstanding = 0;                // at servers that were warm when asked
+    std::size_t listed = 0, recalled_out = 0;  // of the list at hand; out by an earlier life's word
+    int outstanding = 0;                       // at servers that were warm when asked
     std::vector<RequestId> held, done;  // may name finished ones, see purge_held(); ended during this event
 
     void act(Action action) { actions->push_back(std::move(action)); }
@@ -91,6 +95,26 @@
         if (settings.list_on_request) act(Subscribe{true});
     }
 
+    void on(const Remembered& e) {
+        if (!servers.empty()) return;  // too late: what we see ourselves is better
+        const Knowledge k = sound(e.knowledge);
+        memory.keep(k, e.age, now);
+        if (!memory.believed()) return;
+        admission.recall(k, memory.taken_at(), now);
+        aperture.recall(k.carried, memory.taken_at());
+        retry_budget.at_most(k.retries_left);
+    }
+
+    Knowledge known(Millis at) const {
+        Knowledge k;
+        for (const auto& [id, s] : servers)
+            if (s.listed) k.servers.push_back(Memory::of(s, at));
+        admission.know(k, at);
+        k.carried = aperture.carried_rate(at);
+        k.retries_left = retry_budget.left();
+        return sound(std::move(k));
+    }
+
     void on(const ServerList& list) {
         if (list.kind == ListKind::failed) {
             // The list is one service for all: come back later and not in step with the others.
@@ -101,7 +125,9 @@
         if (list.kind != ListKind::saved) resubscribe = kResubscribe;
         if (list.kind != ListKind::incremental)
             for (auto& [id, s] : servers) s.listed = false;
+        listed = std::max(list.servers.size(), servers.size());
         for (const ServerInfo& info : list.servers) learn(info);
+        if (list.kind == ListKind::full) memory.forget_servers();
         std::erase_if(
             servers, [](const auto& entry) { return !entry.second.listed && entry.second.outstanding == 0; });
         std::vector<Server*> all;
@@ -122,6 +148,10 @@
         s.info = info;
         pace.learn(s);
         s.listed = info.phase != Phase::off;
+        if (!fresh) return;
+        // Half of the list stays in the pool, whatever an earlier life thought of it.
+        memory.recall(s, 2 * (recalled_out + 1) <= listed, now);
+        recalled_out += s.standing == Standing::removed;
     }
 
     void draw_pool() {
@@ -347,6 +377,8 @@
     impl_->forget_done();
 }
 
+Knowledge Balancer::knowledge(Millis now) const { return impl_->known(std::max(impl_->now, now)); }
+
 Balancer::Held Balancer::held() const {
     return {impl_->requests.size(), impl_->servers.size(), impl_->timers.size(), impl_->held.size()};
 }
--- /dev/null
+++ b/src/policy/memory.cpp
@@ -0,0 +1,40 @@
+#include "policy/memory.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hollybeam {
+
+void Memory::keep(const Knowledge& knowledge, Millis age, Millis now) {
+    believed_ = age >= 0 && age <= kBelieved;
+    if (!believed_) return;
+    taken_at_ = now - age;
+    for (const ServerKnowledge& s : knowledge.servers) servers_.try_emplace(s.server, s);
+}
+
+void Memory::recall(Server& s, bool may_remove, Millis now) {
+    const auto at = servers_.find(s.info.id);
+    if (at == servers_.end()) return;
+    const ServerKnowledge k = at->second;
+    servers_.erase(at);
+    const Millis age = now - taken_at_;
+    s.tokens = std::min(s.tokens, k.tokens);
+    if (k.online_since != s.info.online_since) return;  // another process
+    if (k.out_ms) {
+        if (!may_remove) return;
+        s.standing = Standing::removed;
+        s.backoff_until = now + std::max(0.0, *k.out_ms - age);
+        return;
+    }
+    const auto believed = static_cast<std::uint32_t>(k.seen * std::exp(-age / kOutcomes));
+    for (std::uint32_t i = believed; i-- > 0;) s.window.add((k.outcomes >> i & 1U) != 0);
+}
+
+ServerKnowledge Memory::of(const Server& s, Millis now) {
+    ServerKnowledge k{s.info.id, s.info.online_since, s.window.bits(), s.window.filled(), {}, s.tokens};
+    if (s.standing == Standing::removed) k.out_ms = std::max(0.0, s.backoff_until - now);
+    if (s.standing == Standing::trial) k.out_ms = 0;  // undecided: the next life tries it at once
+    return k;
+}
+
+}  // namespace hollybeam
--- /dev/null
+++ b/src/policy/memory.hpp
@@ -0,0 +1,46 @@
+// Memory: what an earlier life had learned, believed less the older it is (docs/design/state.md).
+//
+// It may make a server be tried with care, never shun it: what was removed is on trial as soon as its
+// backoff, counted on while we were away, is over; a process that has restarted since is another one; what
+// the first whole list does not name is forgotten. No budget is given anew: tokens of cold servers and
+// retries are the lesser of the remembered and the fresh.
+#pragma once
+
+#include <map>
+
+#include "hollybeam/knowledge.hpp"
+#include "policy/server.hpp"
+
+namespace hollybeam {
+
+class Memory {
+public:
+    // A server's record older than this says nothing of now; the fading means forget by themselves.
+    static constexpr Millis kBelieved = 300000;
+    // Outcomes of a window fade like this: the oldest go first.
+    static constexpr Millis kOutcomes = 60000;
+
+    // Sound knowledge. age: since it was taken; of less than 0 or none, nothing is believed.
+    void keep(const Knowledge& knowledge, Millis age, Millis now);
+    bool believed() const { return believed_; }
+    Millis taken_at() const { return taken_at_; }
+    // What is known of this process of a server that is new to us, once. may_remove: the pool can spare it.
+    void recall(Server& s, bool may_remove, Millis now);
+    void forget_servers() { servers_.clear(); }
+
+    // As of now.
+    static ServerKnowledge of(const Server& s, Millis now);
+    static FadingKnowledge of(const Recent& mean, Millis now) {
+        return {mean.value, mean.count, now - mean.at};
+    }
+    static Recent recalled(const FadingKnowledge& known, Millis taken_at) {
+        return {{known.weight, taken_at - known.since}, known.value};
+    }
+
+private:
+    std::map<ServerId, ServerKnowledge> servers_;
+    Millis taken_at_ = 0;
+    bool believed_ = false;
+};
+
+}  // namespace hollybeam
--- a/src/policy/retry_budget.hpp
+++ b/src/policy/retry_budget.hpp
@@ -14,6 +14,8 @@
     void arrived() { left_ = std::min(left_ + kShare, kBurst); }
     bool may_retry() const { return left_ >= 1; }
     void retried() { left_ -= 1; }
+    double left() const { return left_; }
+    void at_most(double left) { left_ = std::min(left_, left); }
 
 private:
     double left_ = kBurst;
--- a/src/policy/server.hpp
+++ b/src/policy/server.hpp
@@ -20,6 +20,7 @@
     }
     void clear() { bits_ = filled_ = 0; }
     std::uint32_t filled() const { return filled_; }
+    std::uint32_t bits() const { return bits_; }  // the newest is the lowest
     std::uint32_t successes() const { return static_cast<std::uint32_t>(std::popcount(bits_)); }
 
 private:
--- a/src/rehearsal/balancers.cpp
+++ b/src/rehearsal/balancers.cpp
@@ -20,6 +20,7 @@
     void handle(Millis now, const Event& event, std::vector<Action>& actions) override {
         balancer_.handle(now, event, actions);
     }
+    Knowledge knowledge(Millis now) const override { return balancer_.knowledge(now); }
 
 private:
     Balancer balancer_;
@@ -77,6 +78,7 @@
     };
 
     void on(const Started&) {}
+    void on(const Remembered&) {}
     void on(const FirstByte&) {}
     void on(const ServerList& list) {
         if (list.kind == ListKind::full || list.kind == ListKind::saved)
--- a/src/rehearsal/balancers.hpp
+++ b/src/rehearsal/balancers.hpp
@@ -27,6 +27,8 @@
     // As hollybeam::Balancer::handle().
     virtual void handle(Millis now, const hollybeam::Event& event,
                         std::vector<hollybeam::Action>& actions) = 0;
+    // As hollybeam::Balancer::knowledge(); those that learn nothing know nothing.
+    virtual hollybeam::Knowledge knowledge(Millis) const { return {}; }
 };
 
 struct BalancerName {
--- a/src/rehearsal/incident.cpp
+++ b/src/rehearsal/incident.cpp
@@ -104,7 +104,9 @@
      kMostSidecars},
     {"sockets", Unit::count, &SidecarsSpec::sockets, "1024", "descriptors that one may hold", 64, 1000000},
     {"max_attempts", Unit::count, &SidecarsSpec::max_attempts, "4", "for one request, the first included", 1,
-     10}};
+     10},
+    {"remember", Unit::duration, &SidecarsSpec::remember, "\"0ms\"",
+     "how often one keeps what it has learned for its next start, in virtual time; 0: never", 0, 3600000}};
 
 const std::vector<Key<RulesSpec>> kRules{
     {"drain_grace", Unit::duration, &RulesSpec::drain_grace, "\"500ms\"",
--- a/src/rehearsal/incident.hpp
+++ b/src/rehearsal/incident.hpp
@@ -69,6 +69,7 @@
     std::uint64_t count = 4;
     std::uint64_t sockets = 1024;
     std::uint64_t max_attempts = 4;
+    Millis remember = 0;
 };
 
 struct RulesSpec {
--- a/src/rehearsal/report.cpp
+++ b/src/rehearsal/report.cpp
@@ -121,6 +121,10 @@
             "settled after "
             "{:.1f}s, recovered {:.1f}s after its end\n",
             rush.settled, rush.onset, rush.settle / 1000, rush.recover / 1000);
+    if (r.restarted.worth_asked > 0)
+        t += fmt::format("  first {:.0f}s after restarts: goodput {:.3f}; {} attempts, {} of them failed\n",
+                         Report::kAfterRestart / 1000, r.restarted.goodput(), r.restarted.attempts,
+                         r.restarted.failed);
     t += fmt::format("\n  {:<14}{:>8}{:>9}{:>7}{:>9}{:>8}{:>8}{:>8}{:>8}{:>8}\n", "class", "asked", "in aim",
                      "late", "refused", "failed", "p50", "p90", "p99", "max ms");
     for (const ClassReport& c : r.service.classes)
@@ -166,6 +170,10 @@
     if (const RushReport& rush = r.service.rush; rush.any)
         j["rush"] = {{"from_ms", rush.from}, {"to_ms", rush.to},         {"settled", rush.settled},
                      {"onset", rush.onset},  {"settle_ms", rush.settle}, {"recover_ms", rush.recover}};
+    if (r.restarted.worth_asked > 0)
+        j["restarted"] = {{"attempts", r.restarted.attempts},
+                          {"failed", r.restarted.failed},
+                          {"goodput", r.restarted.goodput()}};
     for (const ClassReport& c : r.service.classes)
         j["classes"].push_back({{"name", c.name},
                                 {"asked", c.asked},
--- a/src/rehearsal/report.hpp
+++ b/src/rehearsal/report.hpp
@@ -42,6 +42,13 @@
     std::uint64_t seed = 0;
     Millis length = 0;
     std::uint64_t servers = 0, sidecars = 0, requests = 0, tries = 0, attempts = 0, most_attempts = 0;
+    // What restarted sidecars did in their first kAfterRestart; virtual time only.
+    static constexpr Millis kAfterRestart = 10000;
+    struct Restarted {
+        std::uint64_t attempts = 0, failed = 0;  // failed: those that ended neither served nor withdrawn
+        double worth_asked = 0, worth_got = 0;
+        double goodput() const { return worth_asked > 0 ? worth_got / worth_asked : 1; }
+    } restarted;
     std::uint64_t held_back = 0, fallen = 0, connections = 0;
     double attempts_per_try = 0;
     std::vector<RuleReport> rules;
--- a/src/rehearsal/sweep.cpp
+++ b/src/rehearsal/sweep.cpp
@@ -27,18 +27,21 @@
 
 struct Named {
     const char* name;
-    bool of_rushes;
-    double (*of)(const Report&);
+    enum class Of { all, rushes, restarts } of;
+    double (*value)(const Report&);
 };
 const Named kFigures[] = {
-    {"goodput", false, [](const Report& r) { return r.service.goodput; }},
-    {"worst_class", false, [](const Report& r) { return r.service.worst_class; }},
-    {"worst_second", false, [](const Report& r) { return r.service.worst_second; }},
-    {"attempts", false, [](const Report& r) { return r.attempts_per_try; }},
-    {"settled", true, [](const Report& r) { return r.service.rush.settled; }},
-    {"onset", true, [](const Report& r) { return r.service.rush.onset; }},
-    {"settle_ms", true, [](const Report& r) { return r.service.rush.settle; }},
-    {"recover_ms", true, [](const Report& r) { return r.service.rush.recover; }},
+    {"goodput", Named::Of::all, [](const Report& r) { return r.service.goodput; }},
+    {"worst_class", Named::Of::all, [](const Report& r) { return r.service.worst_class; }},
+    {"worst_second", Named::Of::all, [](const Report& r) { return r.service.worst_second; }},
+    {"attempts", Named::Of::all, [](const Report& r) { return r.attempts_per_try; }},
+    {"settled", Named::Of::rushes, [](const Report& r) { return r.service.rush.settled; }},
+    {"onset", Named::Of::rushes, [](const Report& r) { return r.service.rush.onset; }},
+    {"settle_ms", Named::Of::rushes, [](const Report& r) { return r.service.rush.settle; }},
+    {"recover_ms", Named::Of::rushes, [](const Report& r) { return r.service.rush.recover; }},
+    {"restart_goodput", Named::Of::restarts, [](const Report& r) { return r.restarted.goodput(); }},
+    {"restart_failed", Named::Of::restarts,
+     [](const Report& r) { return static_cast<double>(r.restarted.failed); }},
 };
 
 struct Task {
@@ -85,9 +88,10 @@
 std::vector<SweepFigure> figures_of(const std::vector<const Report*>& reports) {
     std::vector<SweepFigure> figures;
     for (const Named& f : kFigures) {
-        if (f.of_rushes && !reports.front()->service.rush.any) continue;
+        if (f.of == Named::Of::rushes && !reports.front()->service.rush.any) continue;
+        if (f.of == Named::Of::restarts && reports.front()->restarted.worth_asked == 0) continue;
         figures.push_back({f.name, {}});
-        for (const Report* r : reports) figures.back().values.push_back(f.of(*r));
+        for (const Report* r : reports) figures.back().values.push_back(f.value(*r));
     }
     return figures;
 }
--- a/src/rehearsal/virtual_run.cpp
+++ b/src/rehearsal/virtual_run.cpp
@@ -38,6 +38,7 @@
     patience,
     step,
     told,
+    remember,
     poll,
     revive
 };
@@ -83,6 +84,9 @@
     std::vector<std::vector<Idle>> idle;  // by server, the last used at the back
     std::uint32_t life = 0;
     bool alive = true, draining = false;
+    Millis began = 0;
+    Knowledge kept;  // what its store holds
+    Millis kept_at = -1;
 };
 
 // The last of a try, until the caller has its answer or is gone.
@@ -114,6 +118,9 @@
         for (std::uint32_t i = 0; i < instances_.size(); ++i) begin_life(i);
         for (std::size_t i = 0; i < steps_.size(); ++i) put(steps_[i].at, What::step, 0, i);
         for (std::size_t i = 0; i < notices_.size(); ++i) put(notices_[i].at, What::told, 0, i, 0);
+        if (incident_.sidecars.remember > 0)
+            for (std::uint32_t i = 0; i < instances_.size(); ++i)
+                put(incident_.sidecars.remember, What::remember, i);
         ask_next();
         const Millis length = incident_.overview.length;
         Millis patience = 0;
@@ -135,6 +142,7 @@
         report.mode = "virtual";
         report.balancer = options_.balancer;
         report.connections = connections_;
+        report.restarted = restarted_;
         report.log_lines = log_lines_;
         report.log_hash = log_hash_;
         return report;
@@ -172,6 +180,9 @@
                 return;
             case What::told:
                 return told(h);
+            case What::remember:
+                if (instances_[h.who].decider) keep(instances_[h.who]);
+                return put(now_ + incident_.sidecars.remember, What::remember, h.who);
             case What::poll:
                 if (h.at != poll_at_[h.who]) return;
                 poll_at_[h.who] = -1;
@@ -235,6 +246,7 @@
             put(next->at, What::ask, 0, next->id, 0);
         } else {
             service_.ended(now_ + kClientLatency, request_of(t.id), what);
+            count_restarted(request_of(t.id), what);
         }
     }
     void out_of_patience(TryId id) {
@@ -268,8 +280,26 @@
         return {
             server + 1, incident_.hall_of(server), 0, 0, phase, online_since > 0 ? online_since + kEpoch : 0};
     }
+    void keep(Instance& n) {
+        n.kept = n.decider->knowledge(now_ + kEpoch);
+        n.kept_at = now_;
+    }
+    bool just_restarted(const Instance& n, Millis at) const {
+        return n.life > 1 && at >= n.began && at < n.began + Report::kAfterRestart;
+    }
+    void count_restarted(RequestNumber request, Answer what) {
+        const Ask& ask = callers_.ask(request);
+        if (!just_restarted(instances_[ask.sidecar], ask.at)) return;
+        const ClassSpec& c = incident_.classes[ask.class_index];
+        const double worth = c.worth * callers_.work(request);
+        restarted_.worth_asked += worth;
+        if (what == Answer::served && now_ + kClientLatency - ask.at <= c.aim) restarted_.worth_got += worth;
+    }
     void begin_life(std::uint32_t who) {
         Instance& n = instances_[who];
+        // A planned restart writes once more as it ends; one that was killed has what it wrote last.
+        if (n.decider && incident_.sidecars.remember > 0) keep(n);
+        n.began = now_;
         ++n.life;
         n.alive = true;
         n.draining = false;
@@ -278,6 +308,7 @@
         n.decider = make_balancer(options_.balancer, incident_.settings(who), seed);
         n.decider->see(archive_);
         give(who, Started{});
+        if (n.kept_at >= 0) give(who, Remembered{n.kept, now_ - n.kept_at});
         ServerList list{ListKind::saved, {}};
         for (const ServerInfo& info : listed_) {
             if (info.phase != Phase::off) list.servers.push_back(info);
@@ -510,6 +541,10 @@
         const auto at = n.requests.find(a.id);
         if (n.life != a.life || at == n.requests.end()) return;
         --at->second.out;
+        if (just_restarted(n, now_)) {
+            ++restarted_.attempts;
+            restarted_.failed += outcome != Outcome::completed && outcome != Outcome::recalled;
+        }
         log("end %llu.%u s-%u %d", ull(a.id), a.number, a.server, static_cast<int>(outcome));
         if (outcome == Outcome::completed && !at->second.over) answer(a.sidecar, a.id, Answer::served, 0);
         give(a.sidecar, AttemptEnded{a.id, a.number, outcome, now_ - a.sent, at->second.over});
@@ -627,6 +662,7 @@
     std::unordered_map<std::uint64_t, Attempt> attempts_;
     std::unordered_map<Ticket, std::uint64_t> tickets_;
     ServerModel::Out out_;
+    Report::Restarted restarted_;
     std::uint64_t connections_ = 0, log_lines_ = 0, log_hash_ = kFnvStart;
 };
 
