--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -14,6 +14,10 @@
 
 void Engine::begin(Millis now) { give(now, Started{}); }
 
+void Engine::remember(Millis now, Knowledge knowledge, Millis age) {
+    give(now, Remembered{std::move(knowledge), age});
+}
+
 void Engine::take(Millis now, const RequestArrived& request) {
     if (requests_.try_emplace(request.id).second) give(now, request);
 }
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -73,6 +73,9 @@
 
     // The first call.
     void begin(Millis now);
+    // What an earlier life had learned and how long ago; between begin() and the first listed().
+    void remember(Millis now, hollybeam::Knowledge knowledge, Millis age);
+    hollybeam::Knowledge knowledge(Millis now) const { return balancer_.knowledge(now); }
     // A request has been taken. Its id must be new; one that is in the table already is left as it is.
     void take(Millis now, const hollybeam::RequestArrived& request);
     // Its caller no longer waits. Unknown or finished ones are nothing new.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,13 +2,22 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <functional>
 #include <iostream>
+#include <optional>
+#include <string>
 
 #include "net/config.hpp"
 #include "net/sidecar.hpp"
+#include "operator/operator_file.hpp"
+#include "state/command.hpp"
+#include "state/keeper.hpp"
+#include "state/moment.hpp"
 
 namespace {
 
@@ -32,13 +41,93 @@
     });
 }
 
-int serve() {
+// [state] of the operator's file: what was learned, kept while the sidecar runs and when it ends.
+class Memory {
+public:
+    // The last write may take as long as a planned restart leaves over; the disk is not waited for beyond it.
+    static constexpr std::chrono::milliseconds kLastWrite{500};
+
+    Memory(boost::asio::io_context& io, const elmbay::StateSettings& settings, const std::string& instance)
+        : keeper_(elmbay::state::posix_files(), settings.folder, instance),
+          every_(static_cast<std::int64_t>(settings.every)),
+          timer_(io) {}
+
+    std::optional<elmbay::Sidecar::Remembered> load() {
+        auto loaded = keeper_.start();
+        if (!loaded.why.empty()) std::cerr << "elmbay: state: " << loaded.why << std::endl;
+        if (!loaded.snapshot) return {};
+        const double age = elmbay::state::age_of(loaded.snapshot->taken, elmbay::state::moment_now());
+        return elmbay::Sidecar::Remembered{std::move(*loaded.snapshot), age};
+    }
+    void keep(const elmbay::Sidecar& sidecar) {
+        timer_.expires_after(every_);
+        timer_.async_wait([this, &sidecar](boost::system::error_code error) {
+            if (error) return;
+            post(sidecar);
+            tell();
+            keep(sidecar);
+        });
+    }
+    void last(const elmbay::Sidecar& sidecar) {
+        post(sidecar);
+        if (!keeper_.stop(kLastWrite))
+            std::cerr << "elmbay: state: the last write was not waited for" << std::endl;
+    }
+
+private:
+    void post(const elmbay::Sidecar& sidecar) {
+        auto snapshot = sidecar.snapshot();
+        snapshot.taken = elmbay::state::moment_now();
+        keeper_.post(std::move(snapshot));
+    }
+    // Once when writing begins to fail or hang, and once when it works again.
+    void tell() {
+        const auto status = keeper_.status();
+        const std::string trouble = status.hangs ? "the disk hangs" : status.last_error;
+        if (trouble != trouble_)
+            std::cerr << "elmbay: state: "
+                      << (trouble.empty() ? "written again" : "can't be written: " + trouble) << std::endl;
+        trouble_ = trouble;
+    }
+
+    elmbay::state::Keeper keeper_;
+    std::chrono::milliseconds every_;
+    boost::asio::steady_timer timer_;
+    std::string trouble_;
+};
+
+// Tells every problem of the operator's file; whether it can be used.
+bool told_no_problem(const std::string& path, const elmbay::schema::Problems& problems) {
+    std::cerr << elmbay::schema::text_of(path, problems);
+    return problems.empty();
+}
+
+int check(const std::string& path) {
+    elmbay::schema::Problems problems;
+    elmbay::read_operator_file(path, problems);
+    if (!told_no_problem(path, problems)) return 2;
+    std::cout << path << ": sound" << std::endl;
+    return 0;
+}
+
+int serve(const std::string& operator_path) {
+    elmbay::OperatorFile settings;
+    if (!operator_path.empty()) {
+        elmbay::schema::Problems problems;
+        settings = elmbay::read_operator_file(operator_path, problems);
+        if (!told_no_problem(operator_path, problems)) return 2;
+    }
     try {
         boost::asio::io_context io(1);
         // Before all else: without a handler SIGHUP ends the process. One that comes too early for us waits
         // here.
         boost::asio::signal_set reloads(io, SIGHUP), ends(io, SIGTERM, SIGINT);
-        elmbay::Sidecar sidecar(io, elmbay::load_config(environment));
+        elmbay::Config config = elmbay::load_config(environment);
+        std::optional<Memory> memory;
+        if (!settings.state.folder.empty()) memory.emplace(io, settings.state, config.name);
+        auto remembered = memory ? memory->load() : std::nullopt;
+        elmbay::Sidecar sidecar(io, std::move(config), std::move(remembered));
+        if (memory) memory->keep(sidecar);
         await_reload(reloads, sidecar);
         ends.async_wait([&](boost::system::error_code error, int) {
             if (!error) sidecar.drain([&io] { io.stop(); });
@@ -51,6 +140,7 @@
                 std::cerr << "elmbay: " << error.what() << std::endl;
             }
         }
+        if (memory) memory->last(sidecar);
         return 0;
     } catch (const std::exception& error) {
         std::cerr << "elmbay: " << error.what() << std::endl;
@@ -69,11 +159,32 @@
         "What it is told comes by the environment:\n"
         "  RELAY_CONFIG     the configuration, a JSON file (README has a small one)\n"
         "  RELAY_NAME, RELAY_LISTEN, RELAY_DISCOVERY  in place of name, listen and discovery there\n"
-        "Exit: 0 ended as told, 2 wrong use or a configuration that can't be used.");
+        "Exit: 0 ended as told, 1 a command's work failed, 2 wrong use or a configuration that can't be "
+        "used.");
+    std::string operator_path, checked;
+    app.add_option("--operator", operator_path,
+                   "the operator's own file (TOML; `elmbay keys` lists what it may say)");
+    CLI::App* check_command = app.add_subcommand("check", "says what is wrong with an operator's file");
+    check_command->add_option("file", checked, "the file")->required();
+    CLI::App* keys_command = app.add_subcommand("keys", "every key of the operator's file");
+    std::function<int()> command;
+    elmbay::state::add_command(app, command);
+    app.require_subcommand(0, 1);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
         return app.exit(error) == 0 ? 0 : 2;
     }
-    return serve();
+    try {
+        if (command) return command();
+        if (*check_command) return check(checked);
+        if (*keys_command) {
+            std::cout << elmbay::operator_manual();
+            return 0;
+        }
+    } catch (const std::exception& error) {
+        std::cerr << "elmbay: " << error.what() << std::endl;
+        return 1;
+    }
+    return serve(operator_path);
 }
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -32,7 +32,7 @@
 
 }  // namespace
 
-Sidecar::Sidecar(asio::io_context& io, Config config)
+Sidecar::Sidecar(asio::io_context& io, Config config, std::optional<Remembered> remembered)
     : config_(std::move(config)),
       timers_(io, clock_),
       budget_(socket_limit(config_.sockets)),
@@ -58,10 +58,37 @@
                  },
                  [this](RequestId id) { gone(id); }, [this] { return ready_; }}) {
     engine_.begin(clock_.now());
+    if (remembered) remember(std::move(*remembered));
     listed(ListKind::saved, std::exchange(config_.known, {}));
     if (!config_.site.settings.list_on_request) discovery_.watch();
 }
 
+// The module knows servers by numbers, and numbers don't last: each name gets one before a list names it.
+void Sidecar::remember(Remembered remembered) {
+    hollybeam::Knowledge& knowledge = remembered.snapshot.knowledge;
+    for (std::size_t i = 0; i < knowledge.servers.size() && i < remembered.snapshot.uids.size(); ++i)
+        knowledge.servers[i].server =
+            remembered_.try_emplace(remembered.snapshot.uids[i], next_server_++).first->second;
+    engine_.remember(clock_.now(), std::move(knowledge), remembered.age);
+}
+
+state::Snapshot Sidecar::snapshot() const {
+    state::Snapshot snapshot{config_.name, {}, engine_.knowledge(clock_.now()), {}};
+    std::unordered_map<ServerId, const std::string*> names;
+    for (const auto& [uid, known] : servers_)
+        if (uid.size() <= state::kMostName) names[known.id] = &uid;
+    std::vector<ServerKnowledge> named;
+    for (ServerKnowledge& s : snapshot.knowledge.servers) {
+        const auto name = names.find(s.server);
+        if (name == names.end()) continue;
+        s.server = static_cast<std::uint32_t>(snapshot.uids.size());
+        snapshot.uids.push_back(*name->second);
+        named.push_back(s);
+    }
+    snapshot.knowledge.servers = std::move(named);
+    return snapshot;
+}
+
 void Sidecar::reload(const Config& config) {
     budget_.set_limit(socket_limit(config.sockets));
     discovery_.move_to(config.discovery);
@@ -120,7 +147,10 @@
             if (servers_.size() >= kMostServers) continue;
         }
         Known& known = servers_[t.uid];
-        if (known.id == 0) known.id = next_server_++;
+        if (known.id == 0) {
+            const auto before = remembered_.find(t.uid);
+            known.id = before != remembered_.end() ? before->second : next_server_++;
+        }
         known.info = {known.id,
                       name_number(config_.site.zones, t.zone),
                       name_number(config_.site.kinds, t.kind),
@@ -137,6 +167,7 @@
     }
     for (const auto& [uid, known] : servers_)
         if (!known.listed) upstream_.set_server(known.id, {}, false);
+    if (kind == ListKind::full) remembered_.clear();  // the module forgets those it does not name, too
     engine_.listed(clock_.now(), std::move(list));
     std::erase_if(servers_, [this](const auto& entry) {
         if (entry.second.listed || upstream_.attempts_at(entry.second.id) > 0) return false;
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -16,6 +17,7 @@
 #include "net/intake.hpp"
 #include "net/listener.hpp"
 #include "net/upstream.hpp"
+#include "state/snapshot.hpp"
 
 namespace elmbay {
 
@@ -23,7 +25,12 @@
 public:
     // Throws boost::system::system_error if it can't listen, std::invalid_argument for settings that make no
     // sense.
-    Sidecar(asio::io_context& io, Config config);
+    // remembered: what an earlier life had learned, and its age in milliseconds (less than 0: not known).
+    struct Remembered {
+        state::Snapshot snapshot;
+        Millis age = -1;
+    };
+    Sidecar(asio::io_context& io, Config config, std::optional<Remembered> remembered = {});
     Sidecar(const Sidecar&) = delete;
     Sidecar& operator=(const Sidecar&) = delete;
 
@@ -35,6 +42,8 @@
 
     Endpoint local_endpoint() const { return listener_.local_endpoint(); }
     std::size_t requests() const { return engine_.requests(); }
+    // What has been learned, by the names that the next life will know. Its moment is left to the caller.
+    state::Snapshot snapshot() const;
 
 private:
     struct Known {
@@ -49,6 +58,7 @@
     void attempt_ended(AttemptKey key, Outcome outcome, Millis duration, HttpResponse response);
     void listed(hollybeam::ListKind kind, const Listing& listing);
 
+    void remember(Remembered remembered);
     void displace(const Target& t, Known& arrived, hollybeam::ServerList& list);
     static std::uint32_t name_number(std::vector<std::string>& names, const std::string& name);
 
@@ -69,6 +79,7 @@
     HttpResponse* ended_ = nullptr;         // the answer of the attempt whose end is being told
     std::map<std::string, Known> servers_;  // by uid
     ServerId next_server_ = 1;
+    std::map<std::string, ServerId> remembered_;  // by uid: those that no list has named yet
     bool ready_ = false;
     Upstream upstream_;
     Discovery discovery_;
--- /dev/null
+++ b/src/state/keeper.hpp
@@ -0,0 +1,52 @@
+// The keeper: a store on a thread of its own, so that no request ever waits for a disk.
+//
+// One snapshot waits at most: a newer one takes its place. A disk that does not answer is noticed by the time
+// that the save at hand has taken; start() and stop() wait for it within their limits and then go without.
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "state/store.hpp"
+
+namespace elmbay::state {
+
+class Keeper {
+public:
+    using Span = std::chrono::milliseconds;
+    static constexpr Span kLoadWithin{1000};  // a start waits this long for a disk, and then knows nothing
+    static constexpr Span kHungAfter{10000};  // a save that takes longer hangs: it is told as such
+    // What has not changed is written this often all the same, so that its age says how long it has held.
+    static constexpr Span kRefresh{60000};
+
+    // files must outlive the process: a disk that hangs keeps the thread.
+    Keeper(Files& files, std::string folder, std::string instance);
+    ~Keeper();  // as stop(0)
+    Keeper(const Keeper&) = delete;
+    Keeper& operator=(const Keeper&) = delete;
+
+    // Opens and loads. An error, or nothing in time, is told in `why`, and nothing is ever kept then.
+    Store::Loaded start(Span within = kLoadWithin);
+    void post(Snapshot snapshot);
+    // Lets the last one be written; false: it was not within the limit, and may or may not be one day.
+    bool stop(Span within);
+
+    struct Status {
+        bool usable = false;      // opened, and not stopped
+        bool hangs = false;       // a save has taken kHungAfter
+        std::uint64_t saves = 0;  // that ended well, those that had nothing to write with them
+        std::uint64_t failures = 0;
+        std::uint64_t replaced = 0;  // by a newer one, before they were begun
+        std::uint64_t bytes = 0;     // written
+        std::string last_error{};    // of the last save; empty if it ended well
+    };
+    Status status() const;
+
+private:
+    struct Shared;
+    static void run(const std::shared_ptr<Shared>& shared);
+    std::shared_ptr<Shared> shared_;  // with the thread, which a disk may hold on to for longer than we live
+};
+
+}  // namespace elmbay::state
--- a/tests/install_test.cmake
+++ b/tests/install_test.cmake
@@ -1,4 +1,4 @@
-# Installs the library, checks that only the public header went along, and uses it from a project of its own.
+# Installs the library, checks that only the public headers went along, and uses it from a project of its own.
 file(REMOVE_RECURSE ${WORK})
 file(MAKE_DIRECTORY ${WORK}/app)
 function(run)
@@ -9,7 +9,7 @@
 endfunction()
 run(${CMAKE_COMMAND} --install ${BUILD} --prefix ${WORK}/prefix)
 file(GLOB_RECURSE headers RELATIVE ${WORK}/prefix ${WORK}/prefix/*.hpp)
-if(NOT headers STREQUAL "include/hollybeam/balancer.hpp")
+if(NOT headers STREQUAL "include/hollybeam/balancer.hpp;include/hollybeam/knowledge.hpp")
   message(FATAL_ERROR "installed headers: ${headers}")
 endif()
 file(COPY ${EXAMPLE} DESTINATION ${WORK}/app)
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -68,6 +68,7 @@
     std::array<char, 4096> piece{};
     std::string got;
     bool closed = false;
+    std::size_t answered = 0;  // for a test that answers each request once
 };
 
 struct FakeServer {
@@ -145,8 +146,8 @@
         for (const auto& s : servers) list.push_back(target(index++, s.address(), state));
         return list;
     }
-    void start() {
-        sidecar = std::make_unique<Sidecar>(io, parse_config(config.dump()));
+    void start(std::optional<Sidecar::Remembered> remembered = {}) {
+        sidecar = std::make_unique<Sidecar>(io, parse_config(config.dump()), std::move(remembered));
         ASSERT_TRUE(until([&] { return discovery.requests() > 0; }));
     }
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <fstream>
+#include <functional>
+#include <map>
 #include <thread>
 
 #include "net_rig.hpp"
@@ -697,6 +699,68 @@
     EXPECT_TRUE(rig.until([&] { return done; }));
 }
 
+// Sends so many requests, one after another; `bad` fails each of its own, the others serve. Gives how many
+// attempts bad got, -1 if anything went unanswered.
+int ask(
+    NetRig& rig, int requests, FakeServer& bad, const std::function<bool()>& enough = [] { return false; }) {
+    std::size_t failed = 0;
+    for (int i = 0; i < requests && !enough(); ++i) {
+        const auto client = rig.client();
+        client->send(NetRig::request("safe"));
+        std::map<const Peer*, std::size_t> answered;
+        const bool served = rig.until([&] {
+            for (FakeServer& s : rig.servers)
+                for (const auto& peer : s.peers)
+                    while (!peer->closed && peer->answered < peer->requests()) {
+                        ++peer->answered;
+                        if (&s == &bad) ++failed;
+                        &s == &bad ? peer->respond("500 Broken") : peer->respond("200 OK", "answer");
+                    }
+            return client->got.find("answer") != std::string::npos;
+        });
+        if (!served) return -1;
+    }
+    return static_cast<int>(failed);
+}
+
+// A life whose whole list names the servers the other way round from the short, old one that it starts with:
+// they get other numbers than in a life before.
+struct NextLife : NetRig {
+    explicit NextLife(std::optional<Sidecar::Remembered> remembered) : NetRig(5) {
+        Json all = targets(), known = all;
+        known.erase(4);
+        config["known"]["targets"] = known;
+        start(std::move(remembered));
+        watch_begins();
+        std::reverse(all.begin(), all.end());
+        chunk(line(all, true));
+        EXPECT_TRUE(until([&] { return sidecar->snapshot().uids.size() == 5; }));
+    }
+};
+
+// What was learned goes by name.
+TEST(Memory, TheNextLifeKeepsAwayFromAServerThatFailedInThisOne) {
+    NetRig first(5);
+    first.start();
+    const auto removed = [](const NetRig& rig) {
+        const state::Snapshot s = rig.sidecar->snapshot();
+        for (std::size_t i = 0; i < s.uids.size(); ++i)
+            if (s.uids[i] == "s-4" && s.knowledge.servers[i].out_ms) return true;
+        return false;
+    };
+    ASSERT_GT(ask(first, 400, first.servers.back(), [&] { return removed(first); }), 0);
+    ASSERT_TRUE(removed(first));
+    const state::Snapshot learned = first.sidecar->snapshot();
+    EXPECT_EQ(learned.instance, "n");
+    EXPECT_EQ(learned.uids.size(), 5U);
+
+    NextLife remembers(Sidecar::Remembered{learned, 100});
+    EXPECT_TRUE(removed(remembers));
+    EXPECT_EQ(ask(remembers, 60, remembers.servers.back()), 0);
+    NextLife blind({});
+    EXPECT_GT(ask(blind, 60, blind.servers.back()), 0);
+}
+
 // At the limit of descriptors idle connections go, and accepting goes on.
 TEST(Limits, IdleConnectionsMakeRoomForNewOnes) {
     NetRig rig;
--- /dev/null
+++ b/tests/operator/operator_file_test.cpp
@@ -0,0 +1,46 @@
+#include "operator/operator_file.hpp"
+
+#include <gtest/gtest.h>
+
+namespace elmbay {
+namespace {
+
+TEST(OperatorFile, SaysNothingAndAllIsAsItWas) {
+    schema::Problems problems;
+    EXPECT_TRUE(parse_operator_file("", problems).state.folder.empty());
+    EXPECT_TRUE(problems.empty());
+}
+
+TEST(OperatorFile, IsRead) {
+    schema::Problems problems;
+    const OperatorFile file =
+        parse_operator_file("[state]\nfolder = \"/var/lib/elmbay\"\nevery = \"500ms\"\n", problems);
+    EXPECT_TRUE(problems.empty());
+    EXPECT_EQ(file.state.folder, "/var/lib/elmbay");
+    EXPECT_EQ(file.state.every, 500);
+}
+
+TEST(OperatorFile, EveryProblemIsToldWithItsLineAndKey) {
+    schema::Problems problems;
+    parse_operator_file("[state]\nfoldr = \"x\"\nevery = \"1ms\"\n[stat]\n", problems);
+    ASSERT_EQ(problems.size(), 3U);
+    const std::string text = schema::text_of("elmbay.toml", problems);
+    for (const char* part :
+         {"elmbay.toml:2: state.foldr", "folder", "elmbay.toml:3: state.every", "elmbay.toml:4: stat"})
+        EXPECT_NE(text.find(part), std::string::npos) << text;
+    problems.clear();
+    parse_operator_file("[state\n", problems);
+    EXPECT_EQ(problems.size(), 1U);
+    problems.clear();
+    parse_operator_file("state = 3\n", problems);
+    EXPECT_EQ(problems.size(), 1U);
+    problems.clear();
+    read_operator_file("/nonexistent/file.toml", problems);
+    EXPECT_EQ(problems.size(), 1U);
+    problems.clear();
+    read_operator_file("/", problems);
+    EXPECT_EQ(problems.size(), 1U);
+}
+
+}  // namespace
+}  // namespace elmbay
--- /dev/null
+++ b/tests/state/fuzz.cpp
@@ -0,0 +1,43 @@
+// libFuzzer on the reader of state files: whatever the bytes say, it neither throws nor gives a state without
+// sense. `.ci/run` builds it with clang and gives it a short run.
+#include <cstdint>
+#include <cstdlib>
+#include <cstring>
+
+#include "samples.hpp"
+
+using namespace elmbay::state;
+
+extern "C" std::size_t LLVMFuzzerMutate(std::uint8_t* data, std::size_t size, std::size_t most);
+
+// Now and then a sound file takes the place of the input, to be mutated from there: heads are not to be
+// guessed.
+extern "C" std::size_t LLVMFuzzerCustomMutator(std::uint8_t* data, std::size_t size, std::size_t most,
+                                               unsigned seed) {
+    if (seed % 16 == 0 || size == 0) {
+        std::uint64_t next = 0;
+        const Snapshot one = test::sample(1, 2), two = test::sample(2, 3);
+        const std::string bytes =
+            header_of(one, 7) + batch_of(nullptr, one, 7, next) + batch_of(&one, two, 7, next);
+        size = std::min(bytes.size(), most);
+        std::memcpy(data, bytes.data(), size);
+    }
+    return LLVMFuzzerMutate(data, size, most);
+}
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    const Reading r = read_file({reinterpret_cast<const char*>(data), size});
+    const bool whole = r.trouble == Trouble::none;
+    if (whole != r.snapshot.has_value() || r.used > size) std::abort();
+    if (!whole) return 0;
+    const Snapshot& s = *r.snapshot;
+    if (s.uids.size() != s.knowledge.servers.size() || s.uids.size() > kMostServers) std::abort();
+    if (s.instance.empty() || s.instance.size() > kMostName) std::abort();
+    // What was read can be written, and says the same then.
+    std::uint64_t next = 0, again = 0;
+    const std::string bytes = header_of(s, 7) + batch_of(nullptr, s, 7, next);
+    const Reading back = read_file(bytes);
+    if (!back.snapshot || batch_of(nullptr, *back.snapshot, 7, again) != bytes.substr(header_of(s, 7).size()))
+        std::abort();
+    return 0;
+}
--- /dev/null
+++ b/tests/state/keeper_test.cpp
@@ -0,0 +1,131 @@
+// The thread round the store: nothing waits for a disk longer than it says.
+#include "state/keeper.hpp"
+
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+#include "faulty_files.hpp"
+#include "samples.hpp"
+
+namespace elmbay::state {
+namespace {
+
+using test::FaultyFiles;
+using test::round_of;
+using test::sample;
+
+constexpr Keeper::Span kGenerous{20000}, kBrief{20};
+
+// A disk whose syncs, or whose lock, do not come back until they are let go.
+class HangingFiles : public FaultyFiles {
+public:
+    void sync(Handle file, std::error_code& error) override {
+        wait(syncs_hang);
+        FaultyFiles::sync(file, error);
+    }
+    Handle lock(const std::string& path, std::error_code& error) override {
+        wait(lock_hangs);
+        return FaultyFiles::lock(path, error);
+    }
+    void hang(bool& what, bool yes) {
+        const std::scoped_lock guard(mutex_);
+        what = yes;
+        changed_.notify_all();
+    }
+    void await_waiting() {
+        std::unique_lock guard(mutex_);
+        changed_.wait(guard, [&] { return waiting_ > 0; });
+    }
+    bool syncs_hang = false, lock_hangs = false;
+
+private:
+    void wait(const bool& hangs) {
+        std::unique_lock guard(mutex_);
+        ++waiting_;
+        changed_.notify_all();
+        changed_.wait(guard, [&] { return !hangs; });
+        --waiting_;
+    }
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    int waiting_ = 0;
+};
+
+TEST(Keeper, WritesTheLastBeforeItStops) {
+    FaultyFiles files;
+    {
+        Keeper keeper(files, "state", "n-1");
+        EXPECT_FALSE(keeper.start(kGenerous).snapshot);
+        for (int round = 1; round <= 50; ++round) keeper.post(sample(round));
+        EXPECT_TRUE(keeper.stop(kGenerous));
+        const auto status = keeper.status();
+        EXPECT_EQ(status.saves + status.replaced, 50U);
+        EXPECT_GE(status.saves, 1U);
+        keeper.post(sample(99));
+    }
+    files.locked.clear();
+    Keeper next(files, "state", "n-1");
+    const auto loaded = next.start(kGenerous);
+    ASSERT_TRUE(loaded.snapshot) << loaded.why;
+    EXPECT_EQ(round_of(*loaded.snapshot), 50);
+    EXPECT_TRUE(next.stop(kGenerous));
+}
+
+TEST(Keeper, ADiskThatHangsHoldsUpNobody) {
+    HangingFiles files;
+    Keeper keeper(files, "state", "n-1");
+    keeper.start(kGenerous);
+    files.hang(files.syncs_hang, true);
+    keeper.post(sample(1));
+    files.await_waiting();
+    for (int round = 2; round <= 1000; ++round) keeper.post(sample(round));  // comes back at once, each time
+    EXPECT_EQ(keeper.status().replaced, 998U) << "one waits, whatever comes";
+    EXPECT_FALSE(keeper.stop(kBrief));
+    files.hang(files.syncs_hang, false);
+    EXPECT_TRUE(keeper.stop(kGenerous));
+    EXPECT_EQ(keeper.status().saves, 2U) << "the one that hung, and the last";
+}
+
+TEST(Keeper, AStartDoesNotWaitForADiskForEver) {
+    HangingFiles files;
+    files.lock_hangs = true;
+    Keeper keeper(files, "state", "n-1");
+    const auto loaded = keeper.start(kBrief);
+    EXPECT_FALSE(loaded.snapshot);
+    EXPECT_NE(loaded.why.find("has not answered"), std::string::npos);
+    keeper.post(sample(1));
+    files.hang(files.lock_hangs, false);
+    EXPECT_TRUE(keeper.stop(kGenerous));
+    EXPECT_TRUE(files.paths().empty());
+}
+
+TEST(Keeper, FailuresAreToldAndTheNextSaveIsTried) {
+    FaultyFiles files;
+    Keeper keeper(files, "state", "n-1");
+    keeper.start(kGenerous);
+    files.at = 0, files.fault = FaultyFiles::Fault::full;
+    keeper.post(sample(1));
+    while (keeper.status().failures == 0) std::this_thread::yield();
+    EXPECT_FALSE(keeper.status().last_error.empty());
+    keeper.post(sample(2));
+    EXPECT_TRUE(keeper.stop(kGenerous));
+    EXPECT_EQ(keeper.status().saves, 1U);
+    EXPECT_TRUE(keeper.status().last_error.empty());
+}
+
+TEST(Keeper, AFolderInUseIsToldAndNothingIsKept) {
+    FaultyFiles files;
+    Keeper first(files, "state", "n-1"), second(files, "state", "n-1");
+    first.start(kGenerous);
+    EXPECT_NE(second.start(kGenerous).why.find("another process"), std::string::npos);
+    second.post(sample(1));
+    EXPECT_TRUE(second.stop(kGenerous));
+    EXPECT_EQ(second.status().saves, 0U);
+    EXPECT_TRUE(first.stop(kGenerous));
+}
+
+}  // namespace
+}  // namespace elmbay::state
--- /dev/null
+++ b/tests/state/samples.hpp
@@ -0,0 +1,36 @@
+// States to store: all fields of one follow from its round, so that a mix of two rounds shows.
+#pragma once
+
+#include <string>
+
+#include "state/snapshot.hpp"
+
+namespace elmbay::state::test {
+
+inline Snapshot sample(int round, int servers = 6, const std::string& instance = "n-1") {
+    Snapshot s;
+    s.instance = instance;
+    s.taken = {1700000000000 + round, 5000 + round, {1, 2, 3}};
+    s.knowledge.room = s.knowledge.learned = round;
+    s.knowledge.crowd = {0.25, 3, 10};
+    for (int i = 0; i < servers; ++i) {
+        hollybeam::ServerKnowledge k;
+        k.server = static_cast<std::uint32_t>(i);
+        k.online_since = round;
+        k.outcomes = 0xF0F0, k.seen = 16;
+        if (i % 2) k.out_ms = 1000 + i;
+        s.uids.push_back("s-" + std::to_string(100 + i));
+        s.knowledge.servers.push_back(k);
+    }
+    return s;
+}
+
+// The round whose whole state it is; -1: a mix, or not a state of ours.
+inline int round_of(const Snapshot& s) {
+    const int round = static_cast<int>(s.knowledge.room);
+    const Snapshot whole = sample(round, static_cast<int>(s.uids.size()), s.instance);
+    std::uint64_t next = 0, other = 0;
+    return batch_of(nullptr, s, 1, next) == batch_of(nullptr, whole, 1, other) ? round : -1;
+}
+
+}  // namespace elmbay::state::test
--- /dev/null
+++ b/tests/state/snapshot_test.cpp
@@ -0,0 +1,134 @@
+// The file's form: what goes in comes out, and what is damaged is refused or whole.
+#include "state/snapshot.hpp"
+
+#include <gtest/gtest.h>
+
+#include <limits>
+#include <random>
+
+#include "samples.hpp"
+
+namespace elmbay::state {
+namespace {
+
+using test::round_of;
+using test::sample;
+
+// Rounds 1 to 3 in one file: a whole batch and two of changes. ends[i]: where round i + 1 is complete.
+std::string three_rounds(std::vector<std::size_t>* ends = nullptr) {
+    std::uint64_t next = 0;
+    std::string bytes = header_of(sample(1), 7) + batch_of(nullptr, sample(1), 7, next);
+    if (ends) ends->push_back(bytes.size());
+    for (int round = 2; round <= 3; ++round) {
+        const Snapshot before = sample(round - 1);
+        bytes += batch_of(&before, sample(round), 7, next);
+        if (ends) ends->push_back(bytes.size());
+    }
+    return bytes;
+}
+
+TEST(StateFile, WhatGoesInComesOut) {
+    const Reading r = read_file(three_rounds());
+    ASSERT_TRUE(r.snapshot);
+    EXPECT_EQ(round_of(*r.snapshot), 3);
+    EXPECT_EQ(r.snapshot->instance, "n-1");
+    EXPECT_EQ(r.snapshot->taken, sample(3).taken);
+    EXPECT_EQ(r.generation, 7U);
+    EXPECT_EQ(r.batches, 3U);
+    EXPECT_TRUE(r.why.empty());
+}
+
+TEST(StateFile, ServersThatComeAndGoAreChanges) {
+    std::uint64_t next = 0;
+    const Snapshot six = sample(1, 6), four = sample(1, 4), eight = sample(1, 8);
+    std::string bytes = header_of(six, 1) + batch_of(nullptr, six, 1, next);
+    const std::size_t whole = bytes.size();
+    bytes += batch_of(&six, four, 1, next);
+    EXPECT_LT(bytes.size() - whole, whole / 2) << "two names and a time";
+    EXPECT_EQ(read_file(bytes).snapshot->uids.size(), 4U);
+    bytes += batch_of(&four, eight, 1, next);
+    EXPECT_EQ(read_file(bytes).snapshot->uids.size(), 8U);
+    EXPECT_EQ(round_of(*read_file(bytes).snapshot), 1);
+}
+
+TEST(StateFile, CutAtAnyByteItIsRefusedOrWholeAsOfTheBatchBefore) {
+    std::vector<std::size_t> ends;
+    const std::string bytes = three_rounds(&ends);
+    for (std::size_t cut = 0; cut < bytes.size(); ++cut) {
+        const Reading r = read_file(std::string_view(bytes).substr(0, cut));
+        const int whole = (cut >= ends[0]) + (cut >= ends[1]) + (cut >= ends[2]);
+        if (whole == 0) {
+            ASSERT_EQ(r.trouble, Trouble::broken) << cut;
+            ASSERT_FALSE(r.snapshot) << cut;
+        } else {
+            ASSERT_TRUE(r.snapshot) << cut;
+            ASSERT_EQ(round_of(*r.snapshot), whole) << cut;
+            ASSERT_EQ(r.why.empty(), cut == ends[static_cast<std::size_t>(whole) - 1]) << cut;
+        }
+    }
+}
+
+TEST(StateFile, WithAnyBitFlippedItIsRefusedOrAWholeEarlierState) {
+    const std::string bytes = three_rounds();
+    std::size_t refused = 0, earlier = 0;
+    for (std::size_t bit = 0; bit < bytes.size() * 8; ++bit) {
+        std::string flipped = bytes;
+        flipped[bit / 8] = static_cast<char>(flipped[bit / 8] ^ 1 << bit % 8);
+        const Reading r = read_file(flipped);
+        if (!r.snapshot) {
+            ++refused;
+            continue;
+        }
+        const int round = round_of(*r.snapshot);
+        ASSERT_TRUE(round == 1 || round == 2) << "bit " << bit << " gave round " << round;
+        ++earlier;
+    }
+    EXPECT_GT(refused, 1000U);
+    EXPECT_GT(earlier, 1000U);
+}
+
+TEST(StateFile, RecordsOfAnotherGenerationOrPlaceDoNotPass) {
+    std::uint64_t next = 0, from_start = 0;
+    const Snapshot one = sample(1), two = sample(2);
+    const std::string base = header_of(one, 7) + batch_of(nullptr, one, 7, next);
+    std::uint64_t as_is = next;
+    EXPECT_EQ(round_of(*read_file(base + batch_of(&one, two, 7, as_is)).snapshot), 2);
+    as_is = next;
+    EXPECT_EQ(round_of(*read_file(base + batch_of(&one, two, 8, as_is)).snapshot), 1);
+    EXPECT_EQ(round_of(*read_file(base + batch_of(&one, two, 7, from_start)).snapshot), 1);
+}
+
+TEST(StateFile, ANewerVersionIsNewerAndNothingElse) {
+    std::string bytes = three_rounds();
+    bytes[8] = 2;
+    EXPECT_EQ(read_file(bytes).trouble, Trouble::newer);
+    bytes[8] = 0;
+    EXPECT_EQ(read_file(bytes).trouble, Trouble::broken);
+    EXPECT_EQ(read_file(std::string(4096, '\0')).trouble, Trouble::broken);
+    EXPECT_EQ(read_file("").trouble, Trouble::broken);
+    EXPECT_EQ(read_file(std::string(kMostFile + 1, 'E')).trouble, Trouble::broken);
+}
+
+TEST(StateFile, RandomBytesBehindAGoodHeaderDoNoHarm) {
+    std::mt19937_64 random(20261201);
+    const std::string header = header_of(sample(1), 7);
+    for (int i = 0; i < 2000; ++i) {
+        std::string bytes = header;
+        for (std::size_t n = random() % 400; n > 0; --n) bytes += static_cast<char>(random());
+        EXPECT_FALSE(read_file(bytes).snapshot);
+    }
+}
+
+TEST(StateAge, IsByTheTimeSinceBootOrElseByTheWall) {
+    const Moment then{1000000, 5000, {1}};
+    EXPECT_EQ(age_of(then, {900000, 7000, {1}}), 2000) << "the wall clock was set back; the boot's was not";
+    EXPECT_EQ(age_of(then, {1060000, 10, {2}}), 60000) << "another boot";
+    EXPECT_LT(age_of(then, {900000, 10, {2}}), 0) << "another boot, and a file from the future";
+    EXPECT_EQ(age_of({1000, 5000, {}}, {4000, 9000, {}}), 3000) << "no boot is known to be the same";
+    constexpr auto kLeast = std::numeric_limits<std::int64_t>::min();
+    constexpr auto kMost = std::numeric_limits<std::int64_t>::max();
+    EXPECT_GT(age_of({kLeast, kLeast, {1}}, {kMost, kMost, {1}}), 1e18);
+}
+
+}  // namespace
+}  // namespace elmbay::state
