--- a/tests/operator/operator_file_test.cpp
+++ b/tests/operator/operator_file_test.cpp
@@ -28,18 +28,16 @@
     for (const char* part :
          {"elmbay.toml:2: state.foldr", "folder", "elmbay.toml:3: state.every", "elmbay.toml:4: stat"})
         EXPECT_NE(text.find(part), std::string::npos) << text;
-    problems.clear();
-    parse_operator_file("[state\n", problems);
-    EXPECT_EQ(problems.size(), 1U);
-    problems.clear();
-    parse_operator_file("state = 3\n", problems);
-    EXPECT_EQ(problems.size(), 1U);
-    problems.clear();
-    read_operator_file("/nonexistent/file.toml", problems);
-    EXPECT_EQ(problems.size(), 1U);
-    problems.clear();
-    read_operator_file("/", problems);
-    EXPECT_EQ(problems.size(), 1U);
+    for (const char* wrong : {"[state\n", "state = 3\n"}) {
+        problems.clear();
+        parse_operator_file(wrong, problems);
+        EXPECT_EQ(problems.size(), 1U) << wrong;
+    }
+    for (const char* unreadable : {"/nonexistent/file.toml", "/"}) {
+        problems.clear();
+        read_operator_file(unreadable, problems);
+        EXPECT_EQ(problems.size(), 1U) << unreadable;
+    }
 }
 
 }  // namespace
