Keeper: lets go of the store before it says that it has stopped

Cause: three keeper tests failed under UBSan now and then (invalid vptr in Store::~Store): the thread told stop() that it was over and only then dropped the store, which closes its lock through Files that the caller may have taken away by then. The same left the folder locked for a moment after stop() was true, so that a process started next could be told that another one has it. Change: the store is the thread's own and is gone before 'over' is told.

--- a/src/state/keeper.cpp
+++ b/src/state/keeper.cpp
@@ -11,22 +11,21 @@
 using Steady = std::chrono::steady_clock;
 
 struct Keeper::Shared {
-    Shared(Files& files, std::string folder, std::string instance)
-        : store(files, std::move(folder), std::move(instance)) {}
-
-    Store store;  // the thread's alone
+    Files& files;
+    const std::string folder, instance;
     std::mutex mutex;
     std::condition_variable changed;
     // Under the mutex:
     std::optional<Store::Loaded> loaded;
     std::optional<Snapshot> next;
-    bool stopping = false, over = false, busy = false;
+    bool stopping = false, busy = false;
+    bool over = false;           // the thread has let go of the folder, and touches no file any more
     Steady::time_point since{};  // the save at hand
-    Status status;
+    Status status{};
 };
 
 Keeper::Keeper(Files& files, std::string folder, std::string instance)
-    : shared_(std::make_shared<Shared>(files, std::move(folder), std::move(instance))) {}
+    : shared_(new Shared{files, std::move(folder), std::move(instance), {}, {}, {}, {}}) {}
 
 Keeper::~Keeper() { stop(Span(0)); }
 
@@ -62,14 +61,17 @@
 }
 
 void Keeper::run(const std::shared_ptr<Shared>& shared) {
+    // The thread's alone, and gone before it says that it is over: whoever has stopped us may take the files
+    // away, and another process may have the folder.
+    std::optional<Store> store(std::in_place, shared->files, shared->folder, shared->instance);
     Store::Loaded loaded;
-    const std::error_code opened = shared->store.open();
+    const std::error_code opened = store->open();
     if (opened == std::errc::resource_unavailable_try_again)
         loaded.why = "another process keeps its state in this folder: nothing is kept";
     else if (opened)
         loaded.why = "the folder can't be used: " + opened.message();
     else
-        loaded = shared->store.load();
+        loaded = store->load();
 
     std::unique_lock lock(shared->mutex);
     shared->loaded = std::move(loaded);
@@ -84,15 +86,18 @@
         shared->since = Steady::now();
         const bool refresh = shared->since - refreshed >= kRefresh || shared->stopping;
         lock.unlock();
-        const std::error_code error = shared->store.save(snapshot, refresh);
+        const std::error_code error = store->save(snapshot, refresh);
         lock.lock();
         shared->busy = false;
         ++(error ? shared->status.failures : shared->status.saves);
         if (!error && refresh) refreshed = shared->since;
         shared->status.last_error = error ? error.message() : "";
-        shared->status.bytes = shared->store.bytes_written();
+        shared->status.bytes = store->bytes_written();
     }
     shared->status.usable = false;
+    lock.unlock();
+    store.reset();
+    lock.lock();
     shared->over = true;
     shared->changed.notify_all();
 }
--- a/src/state/keeper.hpp
+++ b/src/state/keeper.hpp
@@ -20,7 +20,7 @@
     // What has not changed is written this often all the same, so that its age says how long it has held.
     static constexpr Span kRefresh{60000};
 
-    // files must outlive the process: a disk that hangs keeps the thread.
+    // files must live until stop() was true, or as long as the process: a disk that hangs keeps the thread.
     Keeper(Files& files, std::string folder, std::string instance);
     ~Keeper();  // as stop(0)
     Keeper(const Keeper&) = delete;
@@ -29,7 +29,8 @@
     // Opens and loads. An error, or nothing in time, is told in `why`, and nothing is ever kept then.
     Store::Loaded start(Span within = kLoadWithin);
     void post(Snapshot snapshot);
-    // Lets the last one be written; false: it was not within the limit, and may or may not be one day.
+    // Lets the last one be written and the folder go: true says that no file is touched any more, and another
+    // may open the folder. False: it was not within the limit, and may or may not be one day.
     bool stop(Span within);
 
     struct Status {
