Crowded from a quarter of the aim on; a server is in the sight of no more sidecars than exist

Why: up to that crowd a nearer server wins ties and a full room opens quickly; by exp(-1 / share) one answer in 60 is late at 0.25, one in 17 at 0.35. Also: Aperture::sight() said 16 sidecars where there are 4, if the pool is the whole fleet, so a cold server without traffic was tried a quarter as often as its bound allows. Tests: both new ones in parts_test.cpp fail with either line as it was (tried).

--- a/src/policy/admission.hpp
+++ b/src/policy/admission.hpp
@@ -37,7 +37,9 @@
     static constexpr double kFloor = 4;  // attempts at a server by all sidecars together that are always left
     static constexpr double kOpen = 2, kHalfOpen = 0.5, kProbe = 0.02;  // a light sidecar's room
     static constexpr Millis kProbesGrow = 3000;                         // by e in this time
-    static constexpr double kCrowded = 0.35;  // answers take this share of the aim: well above an idle pool
+    // Answers take this share of their aim: where a late one, by exp(-1 / share), is first a hundredth and
+    // more. A nearer server or a quicker growing room is worth less than that.
+    static constexpr double kCrowded = 0.25;
     static constexpr double kMostRatio =
         1.5;                                 // of an answer's time to its aim: what a turned-away one counts
     static constexpr double kUsedOver = 20;  // answers; twice that weight to each
--- a/src/policy/aperture.hpp
+++ b/src/policy/aperture.hpp
@@ -49,9 +49,9 @@
     std::size_t warm() const { return warm_; }  // of the pool
     std::size_t servers() const { return ranked_.size(); }
     bool narrow() const { return width_ < static_cast<double>(ranked_.size()); }
-    // Sidecars that have one server in their pool.
+    // Sidecars that have one server in their pool: all of them where the pool is the whole fleet.
     double sight() const {
-        return siblings_ * width_ / std::max<double>(1, static_cast<double>(ranked_.size()));
+        return siblings_ * std::min(1.0, width_ / std::max<double>(1, static_cast<double>(ranked_.size())));
     }
 
 private:
--- a/tests/policy/parts_test.cpp
+++ b/tests/policy/parts_test.cpp
@@ -271,6 +271,13 @@
     EXPECT_TRUE(fleet.aperture.out().empty());
 }
 
+TEST(AperturePart, IsSeenByNoMoreSidecarsThanThereAre) {
+    Fleet few(4, 14), many(1000, 40);
+    for (Fleet* fleet : {&few, &many}) fleet->aperture.draw(kNow, 0);
+    EXPECT_EQ(few.aperture.sight(), 4) << "the pool is the whole fleet";
+    EXPECT_EQ(many.aperture.sight(), 100) << "a tenth of the fleet each";
+}
+
 TEST(AperturePart, WidensWithWhatIsOutAndWhatIsCarried) {
     Fleet fleet(1000, 40);
     fleet.aperture.draw(kNow, 10);
@@ -332,6 +339,14 @@
     EXPECT_LE(places(idle, kNow + 60100), before + 4);
 }
 
+TEST(AdmissionPart, IsCrowdedFromWhereLateAnswersCostMoreThanTheyGain) {
+    Admission busy(settings_of(4)), quiet(settings_of(4));
+    for (Admission* a : {&busy, &quiet}) a->pool_is(12);
+    for (int i = 0; i < 100; ++i) busy.answered(0.3, 10, kNow + i), quiet.answered(0.2, 10, kNow + i);
+    EXPECT_TRUE(busy.crowded());
+    EXPECT_FALSE(quiet.crowded());
+}
+
 TEST(AdmissionPart, FewerServersThanTaughtItCarryTheirPart) {
     Admission a(settings_of(4));
     a.pool_is(12);
