Sessions in the decision module: the upgrade is an attempt, what stands is counted apart

Need: a WebSocket session would be a request that stays out for an hour: it would take the room of short requests, steer the pick away from its server and have its end judged by time. Change: RequestArrived::session, SessionEnded, most_sessions and most_sessions_at_server; src/policy/sessions.hpp keeps who holds what. New ones go to the one of two that holds fewer of ours, cold servers by their tokens as ever; a light sidecar's pool widens with what it holds; an upgrade's time teaches nothing; a session that its server broke is one failure there. The engine passes both on.

--- a/include/hollybeam/balancer.hpp
+++ b/include/hollybeam/balancer.hpp
@@ -61,6 +61,9 @@
     bool may_cancel = true;          // Cancel is permitted
     double cold_from = 1;            // a starting server has at least this share of its capacity, 0 to 1
     Millis warm_within = 0;          // and all of it after this
+    // Sessions this sidecar may hold, those that are upgrading among them: in all (0: each is refused), and
+    // at one server.
+    std::uint32_t most_sessions = 0, most_sessions_at_server = UINT32_MAX;
     double fall_multiple = 2;  // sent more than this multiple of what it can do, a cold server falls over
     Fees fees;
 };
@@ -112,6 +115,10 @@
     Millis effort = 0;                      // expected work, 0 if not known
     bool repeat = false;                    // known to be the client's retry
     bool no_place = false;                  // the driver can't keep it: it needs its answer at once
+    // Its attempts are upgrades, time_left is what they may take in all, its class says how often one may
+    // take effect. Once AttemptEnded tells of a completed one, it belongs to its client until SessionEnded,
+    // without a deadline.
+    bool session = false;
 };
 struct FirstByte {  // a streamed answer has begun; the attempt belongs to the client from here on
     RequestId id = 0;
@@ -127,11 +134,17 @@
 struct ClientGone {
     RequestId id = 0;
 };
+// A session is over; of one that is not held it has no effect. broken: by its server, or on the way there,
+// with no close in good order. What a client did is not.
+struct SessionEnded {
+    RequestId id = 0;
+    bool broken = false;
+};
 struct TimerFired {
     TimerToken token = 0;
 };
 using Event = std::variant<Started, Remembered, ServerList, RequestArrived, FirstByte, AttemptEnded,
-                           ClientGone, TimerFired>;
+                           ClientGone, SessionEnded, TimerFired>;
 
 // ---- Actions --------------------------------------------------------------------------------------------
 // A caller must be able to carry out all of them.
@@ -178,10 +191,11 @@
     // Appends to actions. Events about unknown or finished things have no effect.
     void handle(Millis now, const Event& event, std::vector<Action>& actions);
 
-    // What this instance costs in memory: requests, servers and timers held at present, and the length of the
-    // list of those that wait for room, at most twice the requests and 64.
+    // What this instance costs in memory: requests, servers and timers held at present, the length of the
+    // list of those that wait for room, at most twice the requests and 64, and sessions, at most
+    // most_sessions.
     struct Held {
-        std::size_t requests = 0, servers = 0, timers = 0, waiting = 0;
+        std::size_t requests = 0, servers = 0, timers = 0, waiting = 0, sessions = 0;
     };
     Held held() const;
 
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -41,6 +41,8 @@
     settle(key.request);
 }
 
+void Engine::session_ended(Millis now, RequestId id, bool broken) { give(now, SessionEnded{id, broken}); }
+
 void Engine::listed(Millis now, ServerList list) { give(now, std::move(list)); }
 
 void Engine::timer_fired(Millis now, TimerToken token) { give(now, TimerFired{token}); }
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -81,6 +81,8 @@
     // Its caller no longer waits. Unknown or finished ones are nothing new.
     void client_gone(Millis now, RequestId id);
     void attempt_ended(Millis now, AttemptKey key, Outcome outcome, Millis duration);
+    // A session that was served has ended (hollybeam::SessionEnded); the second time says nothing.
+    void session_ended(Millis now, RequestId id, bool broken);
     void listed(Millis now, hollybeam::ServerList list);
     void timer_fired(Millis now, hollybeam::TimerToken token);
 
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -27,6 +27,7 @@
 #include "policy/pick.hpp"
 #include "policy/request.hpp"
 #include "policy/retry_budget.hpp"
+#include "policy/sessions.hpp"
 
 namespace hollybeam {
 
@@ -60,6 +61,7 @@
     Fairness fairness{settings.tenants};
     RetryBudget retry_budget;
     Memory memory;
+    Sessions sessions{settings};
     Pick pick{settings, random, pace};
 
     Millis now = 0;
@@ -80,6 +82,7 @@
     bool is_cold(const Server& s) const { return cold.is_cold(s, now); }
 
     bool may_send(const Request& r, Server& s) {
+        if (r.session && !sessions.has_place_at(s)) return false;
         return r.may_go_to(s, settings, now) && (!is_cold(s) || cold_tokens(s) >= 1);  // rules 1 to 3, rule 4
     }
 
@@ -128,8 +131,7 @@
         listed = std::max(list.servers.size(), servers.size());
         for (const ServerInfo& info : list.servers) learn(info);
         if (list.kind == ListKind::full) memory.forget_servers();
-        std::erase_if(
-            servers, [](const auto& entry) { return !entry.second.listed && entry.second.outstanding == 0; });
+        std::erase_if(servers, [](const auto& entry) { return is_gone(entry.second); });
         std::vector<Server*> all;
         for (auto& [id, s] : servers) all.push_back(&s);
         aperture.set_servers(std::move(all));
@@ -137,6 +139,11 @@
         release_held();
     }
 
+    static bool is_gone(const Server& s) { return !s.listed && s.outstanding == 0 && s.sessions == 0; }
+    void drop_if_gone(Server& s) {
+        if (is_gone(s)) aperture.remove(&s), servers.erase(s.info.id);
+    }
+
     void learn(const ServerInfo& info) {
         const auto [it, fresh] = servers.try_emplace(info.id);
         Server& s = it->second;
@@ -154,8 +161,11 @@
         recalled_out += s.standing == Standing::removed;
     }
 
+    // What the pool must be wide enough for.
+    int load() const { return std::max(outstanding, static_cast<int>(sessions.held() / Sessions::kEach)); }
+
     void draw_pool() {
-        aperture.draw(now, outstanding);
+        aperture.draw(now, load());
         ejection.compare_with(aperture.pool());
         admission.pool_is(aperture.warm());
     }
@@ -179,13 +189,15 @@
         retry_budget.arrived();
         r.part = fairness.arrived(e.tenant, now);
         r.hold_until = std::min(r.deadline, now + r.kind.aim * kHold);
-        if (e.no_place) return finish(r);
+        r.session = e.session && sessions.has_place();
+        if (r.session) sessions.taken();
+        if (e.no_place || r.session != e.session) return finish(r);
         set_timer(r.deadline, r.id);
         place(r);
     }
 
     void place(Request& r) {
-        if (aperture.stale(now, outstanding)) draw_pool();
+        if (aperture.stale(now, load())) draw_pool();
         const bool admitted =
             admission.has_room(r.kind, r.repeat, r.part, outstanding, now, [this] { return random.unit(); });
         if (Server* s = admitted ? due_trial(r) : nullptr) return dispatch(r, *s);
@@ -215,6 +227,7 @@
         if (is_cold_now) ColdStart::sent(s);
         if (!r.attempts.empty()) retry_budget.retried();
         ++s.outstanding;
+        s.sessions += r.session;
         outstanding += !is_cold_now;
         r.attempts.push_back({s.info.id, s.info.zone, s.info.cell, now, true, true, trial, is_cold_now});
         act(Send{r.id, s.info.id, r.cutoff});
@@ -237,10 +250,13 @@
         a.out = false;
         outstanding -= !a.cold;
         a.may_have_run = !proves_never_ran(e.outcome);
+        // A client that has gone leaves no session behind, though its upgrade went well.
+        const bool held_now = r.session && !r.ended && e.request_ended && e.outcome == Outcome::completed;
+        if (held_now) sessions.holds(r.id, a.server);
         if (const auto at = servers.find(a.server); at != servers.end()) {
+            at->second.sessions -= r.session && !held_now;
             book(at->second, r, a, e);
-            if (!at->second.listed && at->second.outstanding == 0)
-                aperture.remove(&at->second), servers.erase(at);
+            drop_if_gone(at->second);
         }
         if (e.request_ended) r.ended = true;
         if (r.ended) done.push_back(r.id);
@@ -255,18 +271,24 @@
     void book(Server& s, const Request& r, const Attempt& a, const AttemptEnded& e) {
         --s.outstanding;
         const bool is_cold_now = is_cold(s), turned_away = e.outcome == Outcome::saturated;
-        if (turned_away || e.outcome == Outcome::completed || e.outcome == Outcome::overdue) {
+        // How long an upgrade takes says nothing of how long work does.
+        const bool work = !r.session;
+        if (work && (turned_away || e.outcome == Outcome::completed || e.outcome == Outcome::overdue)) {
             const double ratio =
                 turned_away ? Admission::kMostRatio
                             : std::min(Admission::kMostRatio, std::max(0.0, e.duration) / r.kind.aim);
             pace.answered(s, ratio, is_cold_now, now);
             if (!is_cold_now) admission.answered(ratio, outstanding, now);
         }
-        if (e.outcome == Outcome::completed && !a.cold) aperture.completed(now);
+        if (work && e.outcome == Outcome::completed && !a.cold) aperture.completed(now);
         const bool late = e.duration > r.kind.aim && !is_cold_now;
+        judge(s, e.outcome, a.trial, late);
+    }
+
+    void judge(Server& s, Outcome outcome, bool trial, bool late) {
         using Verdict = OutlierEjection::Verdict;
         const Verdict verdict =
-            ejection.judge(s, {e.outcome, a.trial, late, aperture.listed(), aperture.out().size()}, now);
+            ejection.judge(s, {outcome, trial, late, aperture.listed(), aperture.out().size()}, now);
         if (verdict == Verdict::none) return;
         if (verdict == Verdict::removed) act(Log{"removed from the pool", s.info.id});
         if (verdict == Verdict::restored) act(Log{"restored after a trial", s.info.id});
@@ -282,6 +304,17 @@
         done.push_back(e.id);
     }
 
+    // One that its server broke counts against it, or a server that takes every upgrade and keeps none would
+    // look like the least loaded. However else it ends, and after how long, says nothing.
+    void on(const SessionEnded& e) {
+        const auto server = sessions.ended(e.id);
+        const auto at = server ? servers.find(*server) : servers.end();
+        if (at == servers.end()) return;
+        --at->second.sessions;
+        if (e.broken) judge(at->second, Outcome::severed, false, false);
+        drop_if_gone(at->second);
+    }
+
     // What is worth most goes first, then what came last: under a crowd the oldest has least use left.
     void release_held() {
         if (held.empty() || !admission.any_room(outstanding, now)) return;
@@ -326,7 +359,9 @@
     void forget_done() {
         for (const RequestId id : done) {
             const auto it = requests.find(id);
-            if (it != requests.end() && it->second.ended && !it->second.any_out()) requests.erase(it);
+            if (it == requests.end() || !it->second.ended || it->second.any_out()) continue;
+            if (it->second.session) sessions.left();
+            requests.erase(it);
         }
         done.clear();
         purge_held();
@@ -380,7 +415,8 @@
 Knowledge Balancer::knowledge(Millis now) const { return impl_->known(std::max(impl_->now, now)); }
 
 Balancer::Held Balancer::held() const {
-    return {impl_->requests.size(), impl_->servers.size(), impl_->timers.size(), impl_->held.size()};
+    return {impl_->requests.size(), impl_->servers.size(), impl_->timers.size(), impl_->held.size(),
+            impl_->sessions.held()};
 }
 
 }  // namespace hollybeam
--- a/src/policy/pick.cpp
+++ b/src/policy/pick.cpp
@@ -4,7 +4,7 @@
 
 // One is of our zone: it wins ties, and with one request more where our part of the fee exceeds the chance of
 // a late answer.
-Server* Pick::better_of_two(const Crowd& crowd, Millis now) {
+Server* Pick::better_of_two(bool session, const Crowd& crowd, Millis now) {
     const auto in_my_zone = [this](const Server* s) { return s->info.zone == *zone_; };
     // In place: the order within each half is that of the pool.
     std::size_t near = 0;
@@ -24,8 +24,9 @@
     const Server &a = *fresh_[first], &b = *fresh_[second];
     const bool nearer = near > 0 && second >= near;
     const int grace = nearer && crowd.our_part * fee_ > std::exp(-1 / crowd.value);
-    const bool other = b.outstanding + grace < a.outstanding ||
-                       (b.outstanding == a.outstanding && !nearer && pace_->of(b, now) < pace_->of(a, now));
+    const auto held = [&](const Server& s) { return session ? static_cast<int>(s.sessions) : s.outstanding; };
+    const bool other =
+        held(b) + grace < held(a) || (held(b) == held(a) && !nearer && pace_->of(b, now) < pace_->of(a, now));
     return fresh_[other ? second : first];
 }
 
--- a/src/policy/pick.hpp
+++ b/src/policy/pick.hpp
@@ -1,5 +1,6 @@
-// Pick: of two servers drawn by chance, the one with fewer of our outstanding requests (DESIGN). Where they
-// are equal the quicker one; where crossing zones costs and there is no crowd, the nearer.
+// Pick: of two servers drawn by chance, the one with fewer of our outstanding requests (DESIGN), or for a
+// session of our sessions. Where they are equal the quicker one; where crossing zones costs and there is no
+// crowd, the nearer.
 #pragma once
 
 #include <algorithm>
@@ -35,11 +36,11 @@
         for (Server* s : pool)
             if (may(*s)) (r.tried(s->info.id) ? again_ : fresh_).push_back(s);
         if (fresh_.empty()) fresh_.swap(again_);
-        return fresh_.empty() ? nullptr : better_of_two(crowd, now);
+        return fresh_.empty() ? nullptr : better_of_two(r.session, crowd, now);
     }
 
 private:
-    Server* better_of_two(const Crowd& crowd, Millis now);
+    Server* better_of_two(bool session, const Crowd& crowd, Millis now);
 
     std::optional<ZoneId> zone_;  // none where zones don't matter
     double fee_;
--- a/src/policy/request.hpp
+++ b/src/policy/request.hpp
@@ -26,6 +26,7 @@
     double part = 1;          // of the room, for its tenant (Fairness)
     std::uint64_t order = 0;  // of arrival
     bool repeat = false, ended = false, streaming = false;
+    bool session = false;   // its attempts are upgrades (Sessions)
     bool waiting = false;   // has its hold timer
     Millis hold_until = 0;  // what waits for room is refused after this
     std::vector<Attempt> attempts;
--- a/src/policy/server.hpp
+++ b/src/policy/server.hpp
@@ -33,6 +33,7 @@
     ServerInfo info;
     bool listed = true;
     int outstanding = 0;                 // attempts of this sidecar that are out there
+    std::size_t sessions = 0;            // Sessions': its sessions there, and the upgrades out there
     std::uint64_t rank = 0;              // Aperture's: drawn once, so that sidecars differ
     bool in_pool = false;                // Aperture's
     Standing standing = Standing::live;  // OutlierEjection's, as the next two
--- /dev/null
+++ b/src/policy/sessions.hpp
@@ -0,0 +1,42 @@
+// Sessions: requests that, once upgraded, belong to their clients until they end (docs/design/websocket.md).
+//
+// They are counted apart from attempts. How long one lasts says nothing of its server, and what it holds is
+// a place, not a share of the cores: so sessions take no room from short requests, are spread by how many a
+// server holds of them, and are bounded by number. Only the upgrade is an attempt, with all of its rules.
+#pragma once
+
+#include <optional>
+#include <unordered_map>
+
+#include "policy/server.hpp"
+
+namespace hollybeam {
+
+class Sessions {
+public:
+    // The pool is at least so wide that it holds this many of ours at each server, as if each had one attempt
+    // out: a sidecar with few requests and many sessions must not keep them all at the narrowest pool.
+    static constexpr std::size_t kEach = 32;
+
+    explicit Sessions(const Settings& s) : most_(s.most_sessions), most_at_one_(s.most_sessions_at_server) {}
+
+    // Bounds: of all that are held or upgrading, and of those at one server (Server::sessions).
+    bool has_place() const { return held_.size() + upgrading_ < most_; }
+    bool has_place_at(const Server& s) const { return s.sessions < most_at_one_; }
+    // Requests for one that are in the table: each that was taken leaves it once.
+    void taken() { ++upgrading_; }
+    void left() { --upgrading_; }
+    void holds(RequestId id, ServerId server) { held_.emplace(id, server); }
+    // Where it was held; an unknown one, or one that had ended before: nowhere.
+    std::optional<ServerId> ended(RequestId id) {
+        const auto node = held_.extract(id);
+        return node ? std::optional(node.mapped()) : std::nullopt;
+    }
+    std::size_t held() const { return held_.size(); }
+
+private:
+    std::size_t most_, most_at_one_, upgrading_ = 0;
+    std::unordered_map<RequestId, ServerId> held_;  // never iterated
+};
+
+}  // namespace hollybeam
--- a/src/rehearsal/balancers.cpp
+++ b/src/rehearsal/balancers.cpp
@@ -78,6 +78,7 @@
     };
 
     void on(const Started&) {}
+    void on(const SessionEnded&) {}  // the rehearsal has none
     void on(const Remembered&) {}
     void on(const FirstByte&) {}
     void on(const ServerList& list) {
--- a/tests/engine/engine_test.cpp
+++ b/tests/engine/engine_test.cpp
@@ -101,6 +101,36 @@
     EXPECT_EQ(port.outcomes[1].size(), 1U);
 }
 
+// An upgrade is an attempt with one outcome; the session after it is the client's, and its end gives the
+// place back once.
+TEST_F(EngineTest, ASessionHoldsItsPlaceUntilItEnds) {
+    Settings one = settings();
+    one.most_sessions = 1;
+    TestPort own;
+    Engine sessions(one, 1, own);
+    sessions.begin(now);
+    sessions.listed(now, {ListKind::full, {{1, 0, 0, 0, Phase::on, 0}}});
+    const auto upgrade = [&](RequestId id) {
+        RequestArrived e;
+        e.id = id, e.time_left = 1000, e.session = true;
+        sessions.take(now, e);
+    };
+    upgrade(1);
+    ASSERT_EQ(own.started.size(), 1U);
+    sessions.attempt_ended(now, own.started[0].key, Outcome::completed, 5);
+    EXPECT_EQ(own.outcomes[1].at(0).kind, Final::Kind::served);
+    EXPECT_EQ(own.forgotten.count(1), 1U);
+    EXPECT_EQ(sessions.requests(), 0U);
+    upgrade(2);
+    EXPECT_EQ(own.outcomes[2].at(0).kind, Final::Kind::refused);
+    sessions.session_ended(now, 1, false);
+    sessions.session_ended(now, 1, false);
+    upgrade(3);
+    upgrade(4);
+    EXPECT_EQ(own.started.size(), 2U) << "one place, however often the end is told";
+    EXPECT_EQ(own.outcomes[4].at(0).kind, Final::Kind::refused);
+}
+
 TEST_F(EngineTest, TheSameIdAgainChangesNothing) {
     take(1);
     take(1);
--- a/tests/policy/property_test.cpp
+++ b/tests/policy/property_test.cpp
@@ -24,6 +24,8 @@
     s.siblings = siblings;
     s.parallel_tries = parallel;
     s.tenants = {{10}, {1}};
+    s.most_sessions = 30;
+    s.most_sessions_at_server = 7;
     s.my_zone = 1;
     s.fees.cross_zone = 0.02;
     return s;
@@ -60,16 +62,25 @@
     rig.give(ClientGone{at->first});
 }
 
+void end_session(Rig& rig, std::uint16_t which, std::uint16_t how) {
+    if (rig.sessions.empty()) return;
+    auto at = rig.sessions.begin();
+    std::advance(at, which % rig.sessions.size());
+    rig.end_session(*at, how % 3 == 0);
+}
+
 void play(Rig& rig, const Step& step) {
     const auto [what, a, b] = step;
     if (what < 110)
-        rig.request(a % 6, 20 + b % 1500, b % 4 == 0);
+        rig.request(a % 6, 20 + b % 1500, b % 4 == 0, a % 8 == 1);
     else if (what < 215)
         end_one(rig, a, b);
     else if (what < 222)
         tell(rig, a, b);
     else if (what < 228)
         leave(rig, a);
+    else if (what < 236)
+        end_session(rig, a, b);
     else
         rig.pass(what == 255 ? b % 8000 : b % 60);
     std::erase_if(rig.requests, [&](const auto& r) { return rig.closed(r.second) && !rig.out(r.first); });
@@ -92,6 +103,8 @@
             const std::uint64_t draw = random.next();
             play(rig, Step{draw, draw >> 8, draw >> 24});
             RC_ASSERT(!::testing::Test::HasFailure());
+            RC_ASSERT(rig.balancer.held().sessions == rig.sessions.size());
+            RC_ASSERT(rig.balancer.held().sessions <= rig.settings.most_sessions);
             RC_ASSERT(rig.balancer.held().waiting <= 2 * rig.balancer.held().requests + 64);
         }
         events += static_cast<std::size_t>(steps);
--- a/tests/policy/rig.hpp
+++ b/tests/policy/rig.hpp
@@ -52,6 +52,7 @@
         int answers = 0;
         bool gone = false;
         bool refused = false;
+        bool session = false;
     };
 
     Settings settings;
@@ -60,7 +61,8 @@
     std::map<RequestId, Open> requests;
     std::map<ServerId, ServerInfo> servers;  // as last told
     std::multimap<Millis, TimerToken> timers;
-    std::vector<Action> last;  // actions of the last event
+    std::vector<Action> last;      // actions of the last event
+    std::set<RequestId> sessions;  // that stand
     RequestId next_id = 1;
     std::vector<std::string> logs;
 
@@ -79,12 +81,13 @@
         give(ServerList{kind, infos});
     }
 
-    RequestId request(std::uint32_t class_index = 0, Millis time_left = 1000, bool repeat = false) {
+    RequestId request(std::uint32_t class_index = 0, Millis time_left = 1000, bool repeat = false,
+                      bool session = false) {
         const RequestId id = next_id++;
         RequestClass kind = make_class(Effect::once);
         if (class_index < settings.classes.size()) kind = settings.classes[class_index];
-        requests[id] = {kind, now + time_left, {}, 0, false, false};
-        give(RequestArrived{id, class_index, {}, time_left, 0, repeat});
+        requests[id] = {kind, now + time_left, {}, 0, false, false, session};
+        give(RequestArrived{id, class_index, {}, time_left, 0, repeat, false, session});
         return id;
     }
 
@@ -118,11 +121,19 @@
         s.out = false;
         s.may_have_run = outcome != Outcome::saturated && outcome != Outcome::refused_connection &&
                          outcome != Outcome::superseded;
-        if (outcome == Outcome::completed && !closed(r)) ++r.answers;
+        if (outcome == Outcome::completed && !closed(r)) {
+            ++r.answers;
+            if (r.session) sessions.insert(id);
+        }
         AttemptEnded e{id, attempt, outcome, now - s.at, closed(r)};
         give(e);
     }
 
+    void end_session(RequestId id, bool broken = false) {
+        sessions.erase(id);
+        give(SessionEnded{id, broken});
+    }
+
     // Lets time pass, firing timers and ending attempts that run out.
     void pass(Millis span) {
         const Millis until = now + span;
@@ -224,6 +235,7 @@
         for (const auto& [id, r] : requests)
             EXPECT_TRUE(closed(r)) << "rule 1: request " << id << " unanswered";
         EXPECT_EQ(balancer.held().requests, 0U);
+        EXPECT_EQ(balancer.held().sessions, sessions.size());
     }
 };
 
