WebSocket front: upgrades on both sides and a relay with bounded waiting, off by default

Change: src/websocket/: handshakes of RFC 6455 section 4 as functions of a head, on Beast's lists; a relay that holds 4 KiB each way and stops reading until they are taken; a front that takes the connection over from the listener, upgrades where the engine says, and tells sessions of a draining server (1012) or of an ending sidecar (1001) one after the other. [websocket] in the operator's file. Sessions' sockets have a part of the budget of their own. elmbay_http is split from elmbay_net so that the front can use its intake; header_problem_of, says_unprocessed and time_left_text are what both fronts share. Without [websocket] on nothing is different: an Upgrade header is passed over (a test says so). Not there yet, and listed in docs/design/websocket.md: acknowledged messages, the conformance table, measurements.

--- a/src/base/sockets.hpp
+++ b/src/base/sockets.hpp
@@ -8,8 +8,9 @@
 
 namespace elmbay {
 
-// Whose socket it is: the application's connections, or those to servers and discovery.
-enum class Side { clients, servers };
+// Whose socket it is: the application's connections, those to servers and discovery, or those of sessions on
+// both sides.
+enum class Side { clients, servers, sessions };
 
 // Counts the open sockets, each side in a part of its own: a flood of clients must not close the warm
 // connections to servers, nor the other way round. A side whose part is full is asked to close an idle one of
@@ -22,11 +23,16 @@
 
     // A lower one takes effect as sockets are closed.
     void set_limit(std::size_t limit) {
+        // Sessions have at most half: they stay for long, and requests must go on beside them.
+        of(Side::sessions).limit = std::min(for_sessions_, limit / 2);
+        limit -= of(Side::sessions).limit;
         places_ = limit * 3 / 10;
         // Under a third together.
         of(Side::clients).limit = places_ + std::max<std::size_t>(kLeastReserve, limit / kReservePart);
         of(Side::servers).limit = limit - std::min(limit, of(Side::clients).limit);
     }
+    // How many sockets sessions may have; takes effect with the next set_limit().
+    void want_for_sessions(std::size_t sockets) { for_sessions_ = sockets; }
     // How many requests may be in work. The rest of the clients' part is the reserve: with every place taken
     // there is still a socket on which the next client is told so, rather than left in the kernel's queue
     // until its time is over.
@@ -54,8 +60,8 @@
     // away. More would be taken from those that serve.
     static constexpr std::size_t kReservePart = 32, kLeastReserve = 2;
 
-    std::array<Part, 2> parts_;
-    std::size_t places_ = 0;
+    std::array<Part, 3> parts_;
+    std::size_t places_ = 0, for_sessions_ = 0;
 };
 
 }  // namespace elmbay
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -126,7 +126,7 @@
         std::optional<Memory> memory;
         if (!settings.state.folder.empty()) memory.emplace(io, settings.state, config.name);
         auto remembered = memory ? memory->load() : std::nullopt;
-        elmbay::Sidecar sidecar(io, std::move(config), std::move(remembered));
+        elmbay::Sidecar sidecar(io, std::move(config), std::move(remembered), settings.websocket);
         if (memory) memory->keep(sidecar);
         await_reload(reloads, sidecar);
         ends.async_wait([&](boost::system::error_code error, int) {
--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -40,11 +40,22 @@
     return unit == 'u' ? value / 1000 : value;
 }
 
+std::string time_left_text(Millis left) {
+    return std::to_string(static_cast<std::int64_t>(left * 1000)) + "u";
+}
+
 std::optional<Problem> problem_of(const RequestHead& head, const Site& site) {
-    const auto bad = [](const char* words) { return Problem{http::status::bad_request, words}; };
     const bool get = head.method() == http::verb::get;
     if (!get && head.method() != http::verb::post)
         return Problem{http::status::method_not_allowed, "GET or POST\n"};
+    if (const auto problem = header_problem_of(head, site)) return problem;
+    if (get != (site.settings.classes[class_of(head, site)].effect == Effect::repeatable))
+        return Problem{http::status::bad_request, "the method is not that of the class\n"};
+    return {};
+}
+
+std::optional<Problem> header_problem_of(const RequestHead& head, const Site& site) {
+    const auto bad = [](const char* words) { return Problem{http::status::bad_request, words}; };
     for (const char* name : {kId, kClass, kTimeLeft, kKey})
         if (head.count(name) > 1) return bad("a header that may stand once is repeated\n");
     const auto id = field(head, kId), key = field(head, kKey);
@@ -53,9 +64,8 @@
     const std::size_t index = class_of(head, site);
     if (index == site.classes.size()) return bad("X-Service-Class is not a known class\n");
     if (!parse_time_left(field(head, kTimeLeft))) return bad("X-Time-Left is not a number and a unit\n");
-    const Effect effect = site.settings.classes[index].effect;
-    if (get != (effect == Effect::repeatable)) return bad("the method is not that of the class\n");
-    if ((effect == Effect::by_key) == key.empty()) return bad("Idempotency-Key goes with a keyed class\n");
+    if ((site.settings.classes[index].effect == Effect::by_key) == key.empty())
+        return bad("Idempotency-Key goes with a keyed class\n");
     return {};
 }
 
--- a/src/net/intake.hpp
+++ b/src/net/intake.hpp
@@ -23,6 +23,8 @@
 // sent it is not the application that the settings describe, and a guess at its meaning may run something
 // twice.
 std::optional<Problem> problem_of(const RequestHead& head, const hollybeam::Site& site);
+// The part of it that holds for a request of any method: the headers that the protocol names.
+std::optional<Problem> header_problem_of(const RequestHead& head, const hollybeam::Site& site);
 
 // What the module is told of a request that has no problem. margin: the answer leaves that much before the
 // client's time is up; waited: so much of that time is over already (both in ms).
@@ -35,5 +37,6 @@
 
 // A number and a unit, m for milliseconds or u for microseconds; nothing if it can't be read.
 std::optional<Millis> parse_time_left(std::string_view text);
+std::string time_left_text(Millis left);
 
 }  // namespace elmbay
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -44,6 +44,8 @@
 HttpResponse plain(http::status status, const char* words) {
     HttpResponse response(status, 11);
     response.set(http::field::content_type, "text/plain");
+    // RFC 6455, 4.4: which version would do.
+    if (status == http::status::upgrade_required) response.set(http::field::sec_websocket_version, "13");
     response.body() = words;
     return response;
 }
@@ -264,15 +266,23 @@
         // The same id again may be somebody else's open request: two of it must not be out together.
         if (!owner_.remember(field(request, "X-Correlation-Id")))
             return turn_away({http::status::conflict, "X-Correlation-Id has been used\n"}, false);
+        const Arrival arrival{waited_in_kernel(socket_), owner_.in_work_.size() < owner_.budget_.places()};
+        if (owner_.handlers_.takes_connection && owner_.handlers_.takes_connection(request))
+            return hand_over(std::move(request), arrival);
         state_ = State::working;
         id_ = owner_.next_id_++;
-        const Arrival arrival{waited_in_kernel(socket_), owner_.in_work_.size() < owner_.budget_.places()};
         owner_.in_work_[id_] = this;
         const auto self = shared_from_this();
         await();  // to see the client leave
         owner_.handlers_.arrived(id_, std::move(request), arrival);
     }
 
+    void hand_over(HttpRequest request, Arrival arrival) {
+        state_ = State::closed;
+        owner_.remove(*this);
+        owner_.handlers_.upgraded(owner_.next_id_++, std::move(socket_), std::move(request), arrival);
+    }
+
     void turn_away(const Problem& problem, bool last) {
         last_ = last_ || last;
         turned_away_ = true;
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -32,6 +32,10 @@
         std::function<void(RequestId, HttpRequest, Arrival)> arrived;  // each gets one answer() or gone()
         std::function<void(RequestId)> gone;
         std::function<bool()> ready;  // for GET /up
+        // Whether a request without a problem asks for the connection itself; none: never. Then `upgraded`
+        // gets both, in place of `arrived`, and answers them.
+        std::function<bool(const RequestHead&)> takes_connection{};
+        std::function<void(RequestId, asio::ip::tcp::socket, HttpRequest, Arrival)> upgraded{};
     };
 
     // Throws boost::system::system_error if the address can't be listened on.
--- a/src/net/message.cpp
+++ b/src/net/message.cpp
@@ -2,6 +2,10 @@
 
 namespace elmbay {
 
+bool says_unprocessed(const http::response_header<>& head) {
+    return (head.result_int() == 503 || head.result_int() == 504) && head["X-Unprocessed"] == "1";
+}
+
 std::string_view field(const http::fields& fields, const char* name) {
     const auto value = fields[name];
     return {value.data(), value.size()};
--- a/src/net/message.hpp
+++ b/src/net/message.hpp
@@ -15,6 +15,9 @@
 constexpr std::size_t kMostBody = 64 * 1024;    // by the protocol
 constexpr std::size_t kMostHeader = 16 * 1024;  // many times what the protocol's headers need
 
+// Whether a server says that it turned a request away unseen: it never ran (PROTOCOL, Sidecars to servers).
+bool says_unprocessed(const http::response_header<>& head);
+
 std::string_view field(const http::fields& fields, const char* name);
 
 // Whether the head says once and without contradiction where its message ends. The parser takes what is left
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -8,6 +8,8 @@
 #include <cstdio>
 #include <iostream>
 
+#include "websocket/handshake.hpp"
+
 namespace elmbay {
 
 namespace {
@@ -30,17 +32,46 @@
     return std::max<std::size_t>(configured, kOwnDescriptors + 8) - kOwnDescriptors;
 }
 
+Config with_sessions(Config config, const websocket::Settings& websocket) {
+    const auto bound = [](std::uint64_t n) {
+        return static_cast<std::uint32_t>(std::min<std::uint64_t>(n, UINT32_MAX));
+    };
+    config.site.settings.most_sessions = websocket.on ? bound(websocket.most) : 0;
+    config.site.settings.most_sessions_at_server = bound(websocket.most_at_server);
+    return config;
+}
+
+SocketBudget budget_of(const Config& config, const websocket::Settings& websocket) {
+    SocketBudget budget(0);
+    if (websocket.on) budget.want_for_sessions(2 * websocket.most);
+    budget.set_limit(socket_limit(config.sockets));
+    return budget;
+}
+
 }  // namespace
 
-Sidecar::Sidecar(asio::io_context& io, Config config, std::optional<Remembered> remembered)
-    : config_(std::move(config)),
+Sidecar::Sidecar(asio::io_context& io, Config config, std::optional<Remembered> remembered,
+                 const websocket::Settings& websocket)
+    : config_(with_sessions(std::move(config), websocket)),
       timers_(io, clock_),
-      budget_(socket_limit(config_.sockets)),
+      budget_(budget_of(config_, websocket)),
       engine_(config_.site.settings, config_.seed, *this),
       upstream_(io, budget_, timers_, clock_, {config_.site.connect_timeout, config_.site.idle_close},
                 [this](AttemptKey key, Outcome outcome, Millis duration, HttpResponse response) {
                     attempt_ended(key, outcome, duration, std::move(response));
                 }),
+      websocket_(!websocket.on ? nullptr
+                               : std::make_unique<websocket::Front>(
+                                     io, budget_, timers_, clock_, websocket, config_.site.connect_timeout,
+                                     config_.seed,
+                                     websocket::Front::Handlers{
+                                         [this](AttemptKey key, Outcome outcome, Millis duration) {
+                                             engine_.attempt_ended(clock_.now(), key, outcome, duration);
+                                         },
+                                         [this](RequestId id) { gone(id); },
+                                         [this](RequestId id, bool broken) {
+                                             engine_.session_ended(clock_.now(), id, broken);
+                                         }})),
       discovery_(io, config_.discovery, budget_, timers_, clock_, config_.known.rev, config_.seed,
                  !config_.site.settings.list_on_request,
                  {[this](const Listing& listing) {
@@ -51,18 +82,32 @@
                       if (config_.site.settings.list_on_request)
                           engine_.listed(clock_.now(), {ListKind::failed, {}});
                   }}),
-      listener_(io, config_.listen, budget_, timers_, clock_,
-                {[this](const RequestHead& head) { return problem_of(head, config_.site); },
-                 [this](RequestId id, HttpRequest request, Arrival arrival) {
-                     arrived(id, std::move(request), arrival);
-                 },
-                 [this](RequestId id) { gone(id); }, [this] { return ready_; }}) {
+      listener_(io, config_.listen, budget_, timers_, clock_, listener_handlers(websocket)) {
     engine_.begin(clock_.now());
     if (remembered) remember(std::move(*remembered));
     listed(ListKind::saved, std::exchange(config_.known, {}));
     if (!config_.site.settings.list_on_request) discovery_.watch();
 }
 
+Listener::Handlers Sidecar::listener_handlers(const websocket::Settings& settings) {
+    Listener::Handlers handlers{[this](const RequestHead& head) { return problem_of(head, config_.site); },
+                                [this](RequestId id, HttpRequest request, Arrival arrival) {
+                                    arrived(id, std::move(request), arrival);
+                                },
+                                [this](RequestId id) { gone(id); }, [this] { return ready_; }};
+    if (!settings.on) return handlers;
+    handlers.problem = [this, origins = settings.origins](const RequestHead& head) {
+        return websocket::asks_upgrade(head) ? websocket::upgrade_problem(head, config_.site, origins)
+                                             : problem_of(head, config_.site);
+    };
+    handlers.takes_connection = websocket::asks_upgrade;
+    handlers.upgraded = [this](RequestId id, asio::ip::tcp::socket client, HttpRequest request,
+                               Arrival arrival) {
+        upgraded(id, std::move(client), std::move(request), arrival);
+    };
+    return handlers;
+}
+
 // The module knows servers by numbers, and numbers don't last: each name gets one before a list names it.
 void Sidecar::remember(Remembered remembered) {
     hollybeam::Knowledge& knowledge = remembered.snapshot.knowledge;
@@ -94,7 +139,11 @@
     discovery_.move_to(config.discovery);
 }
 
-void Sidecar::drain(std::function<void()> done) { listener_.drain(std::move(done)); }
+void Sidecar::drain(std::function<void()> done) {
+    if (!websocket_) return listener_.drain(std::move(done));
+    websocket_->end_all();
+    listener_.drain([this, done = std::move(done)] { websocket_->when_empty(done); });
+}
 
 // ---- Events -----------------------------------------------------------------------------------------------
 
@@ -105,6 +154,14 @@
     engine_.take(clock_.now(), event);
 }
 
+void Sidecar::upgraded(RequestId id, asio::ip::tcp::socket client, HttpRequest request, Arrival arrival) {
+    RequestArrived event = describe(id, request, config_.site, kAnswerMargin, arrival.waited);
+    event.session = true;
+    if (!websocket_->take(id, std::move(client), std::move(request))) return;
+    event.no_place = !arrival.has_place || !websocket_->has_place(id);
+    engine_.take(clock_.now(), event);
+}
+
 void Sidecar::gone(RequestId id) { engine_.client_gone(clock_.now(), id); }
 
 void Sidecar::attempt_ended(AttemptKey key, Outcome outcome, Millis duration, HttpResponse response) {
@@ -126,10 +183,15 @@
         gone.info.phase = Phase::off;
         if (&gone == &arrived) return;
         list.servers.push_back(gone.info);
-        upstream_.set_server(gone.id, {}, false);
+        tell_sockets(gone, {}, false);
     }
 }
 
+void Sidecar::tell_sockets(const Known& known, Endpoint endpoint, bool may_send, Millis online_since) {
+    upstream_.set_server(known.id, endpoint, may_send, online_since);
+    if (websocket_) websocket_->set_server(known.id, may_send);
+}
+
 // The list's words for zones and kinds are kept for good: one that goes on making up new ones must not fill
 // the memory.
 std::uint32_t Sidecar::name_number(std::vector<std::string>& names, const std::string& name) {
@@ -162,16 +224,17 @@
         if (known.listed) displace(t, known, list);
         list.servers.push_back(known.info);
         // The sockets hear of a drain before the module acts on it: nothing waiting may slip out.
-        upstream_.set_server(known.id, t.endpoint, known.info.phase == Phase::on, t.online_since);
+        tell_sockets(known, t.endpoint, known.info.phase == Phase::on, t.online_since);
         if (t.phase == Phase::on) ready_ = true;
     }
     for (const auto& [uid, known] : servers_)
-        if (!known.listed) upstream_.set_server(known.id, {}, false);
+        if (!known.listed) tell_sockets(known, {}, false);
     if (kind == ListKind::full) remembered_.clear();  // the module forgets those it does not name, too
     engine_.listed(clock_.now(), std::move(list));
     std::erase_if(servers_, [this](const auto& entry) {
         if (entry.second.listed || upstream_.attempts_at(entry.second.id) > 0) return false;
         upstream_.forget_server(entry.second.id);
+        if (websocket_) websocket_->forget_server(entry.second.id);
         return true;
     });
 }
@@ -179,13 +242,23 @@
 // ---- What the engine wants done ---------------------------------------------------------------------------
 
 void Sidecar::start(AttemptKey key, ServerId server, Millis until) {
-    upstream_.start(key, server, until, messages_.at(key.request));
+    if (!websocket_ || !websocket_->has(key.request))
+        return upstream_.start(key, server, until, messages_.at(key.request));
+    Endpoint endpoint{};  // the module sends to what is listed only; any other could not be reached
+    for (const auto& [uid, known] : servers_)
+        if (known.id == server) endpoint = known.endpoint;
+    websocket_->start(key, server, endpoint, until);
 }
 
-void Sidecar::cancel(AttemptKey key) { upstream_.cancel(key); }
+void Sidecar::cancel(AttemptKey key) {
+    upstream_.cancel(key);
+    if (websocket_) websocket_->cancel(key);
+}
 
 void Sidecar::finish(RequestId id, const engine::Final& outcome) {
     using Kind = engine::Final::Kind;
+    const bool session = websocket_ && websocket_->has(id);
+    if (session && outcome.kind == Kind::served) return websocket_->serve(id);
     HttpResponse response(http::status::ok, 11);
     if (outcome.kind == Kind::served) {
         if (const auto type = (*ended_)[http::field::content_type]; !type.empty())
@@ -203,7 +276,10 @@
         response.result(outcome.timed_out ? http::status::gateway_timeout : http::status::bad_gateway);
         response.body() = "failed\n";
     }
-    listener_.answer(id, std::move(response));
+    if (session)
+        websocket_->refuse(id, std::move(response));
+    else
+        listener_.answer(id, std::move(response));
 }
 
 void Sidecar::forget(RequestId id) { messages_.erase(id); }
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -18,6 +18,7 @@
 #include "net/listener.hpp"
 #include "net/upstream.hpp"
 #include "state/snapshot.hpp"
+#include "websocket/front.hpp"
 
 namespace elmbay {
 
@@ -30,7 +31,8 @@
         state::Snapshot snapshot;
         Millis age = -1;
     };
-    Sidecar(asio::io_context& io, Config config, std::optional<Remembered> remembered = {});
+    Sidecar(asio::io_context& io, Config config, std::optional<Remembered> remembered = {},
+            const websocket::Settings& websocket = {});
     Sidecar(const Sidecar&) = delete;
     Sidecar& operator=(const Sidecar&) = delete;
 
@@ -42,6 +44,7 @@
 
     Endpoint local_endpoint() const { return listener_.local_endpoint(); }
     std::size_t requests() const { return engine_.requests(); }
+    std::size_t sessions() const { return websocket_ ? websocket_->sessions() : 0; }
     // What has been learned, by the names that the next life will know. Its moment is left to the caller.
     state::Snapshot snapshot() const;
 
@@ -54,6 +57,9 @@
     };
 
     void arrived(RequestId id, HttpRequest request, Arrival arrival);
+    void upgraded(RequestId id, asio::ip::tcp::socket client, HttpRequest request, Arrival arrival);
+    Listener::Handlers listener_handlers(const websocket::Settings& settings);
+    void tell_sockets(const Known& known, Endpoint endpoint, bool may_send, Millis online_since = 0);
     void gone(RequestId id);
     void attempt_ended(AttemptKey key, Outcome outcome, Millis duration, HttpResponse response);
     void listed(hollybeam::ListKind kind, const Listing& listing);
@@ -82,6 +88,7 @@
     std::map<std::string, ServerId> remembered_;  // by uid: those that no list has named yet
     bool ready_ = false;
     Upstream upstream_;
+    std::unique_ptr<websocket::Front> websocket_;  // none where it is off
     Discovery discovery_;
     Listener listener_;
 };
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 
 #include "net/answer.hpp"
+#include "net/intake.hpp"
 
 namespace elmbay {
 
@@ -93,7 +94,7 @@
         message_ = std::move(message);
         // The body is the message's own: as many copies as attempts would be much of a small memory.
         request_.emplace(message_->base());
-        request_->set("X-Time-Left", std::to_string(static_cast<std::int64_t>(left * 1000)) + "u");
+        request_->set("X-Time-Left", time_left_text(left));
         request_->body() = {message_->body().data(), message_->body().size()};
         request_->keep_alive(true);
         request_->prepare_payload();
@@ -188,7 +189,7 @@
             reusable = !was_broken && !ended_ && !write_error && written_ && answer_->reusable();
             response = answer_->release();
             const auto status = response.result_int();
-            if ((status == 503 || status == 504) && response["X-Unprocessed"] == "1")
+            if (says_unprocessed(response))
                 outcome = Outcome::saturated;
             else if (written_)  // a served one has a body, by the protocol
                 outcome = status == 200 && !response.body().empty() ? Outcome::completed : Outcome::errored;
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -20,6 +20,32 @@
      "between two writes, if there is something new; what was learned since the last is lost by a kill", 100,
      3600000}};
 
+using Websocket = websocket::Settings;
+constexpr double kMostSessions = 100000, kMostTime = 3600000;
+
+const std::vector<Key<Websocket>> kWebsocket{
+    {"on", Unit::flag, &Websocket::on, "false",
+     "whether clients may upgrade; if not, `Upgrade` is passed over"},
+    {"origins", Unit::words, &Websocket::origins, "[]", "that browsers may come from; none listed: any"},
+    {"most", Unit::count, &Websocket::most, "500",
+     "sessions of this sidecar; each takes two sockets, of half of all at most", 0, kMostSessions},
+    {"most_at_server", Unit::count, &Websocket::most_at_server, "250", "of them at one server", 1,
+     kMostSessions},
+    {"most_of_client", Unit::count, &Websocket::most_of_client, "500", "of them from one client address", 1,
+     kMostSessions},
+    {"most_message", Unit::size, &Websocket::most_message, "\"1MiB\"",
+     "a longer message ends its session (1009)", 125, 1 << 30},
+    {"waiting", Unit::size, &Websocket::waiting, "\"4KiB\"",
+     "read from one side and not taken by the other; until it is, nothing more is read", 512, 1 << 24},
+    {"handshake", Unit::duration, &Websocket::handshake, "\"3s\"",
+     "for a client to take its answer, and for either side to answer a close", 10, kMostTime},
+    {"idle", Unit::duration, &Websocket::idle, "\"60s\"", "without a byte; a ping goes out at half of it",
+     100, kMostTime},
+    {"drain", Unit::duration, &Websocket::drain, "\"10s\"",
+     "over which sessions of a draining server are told (1012)", 0, kMostTime},
+    {"ending", Unit::duration, &Websocket::ending, "\"1s\"",
+     "over which all are told (1001) once the sidecar is to end", 0, kMostTime}};
+
 }  // namespace
 
 OperatorFile parse_operator_file(const std::string& text, schema::Problems& problems) {
@@ -27,12 +53,15 @@
     try {
         const toml::table root = toml::parse(text);
         for (const auto& [name, node] : root) {
-            if (name.str() == "state" && node.is_table())
-                schema::read_table(*node.as_table(), "state", kState, file.state, problems);
-            else if (name.str() == "state")
-                problems.push_back({node.source().begin.line, "state", "is a table: [state]"});
+            const std::string table(name.str());
+            if (table != "state" && table != "websocket")
+                schema::detail::unknown_key(name, "", {"state", "websocket"}, problems);
+            else if (!node.is_table())
+                problems.push_back({node.source().begin.line, table, "is a table: [" + table + "]"});
+            else if (table == "state")
+                schema::read_table(*node.as_table(), table, kState, file.state, problems);
             else
-                schema::detail::unknown_key(name, "", {"state"}, problems);
+                schema::read_table(*node.as_table(), table, kWebsocket, file.websocket, problems);
         }
     } catch (const toml::parse_error& error) {
         problems.push_back({error.source().begin.line, "", std::string(error.description())});
@@ -56,6 +85,8 @@
     return parse_operator_file(text, problems);
 }
 
-std::string operator_manual() { return "[state]\n" + schema::manual(kState); }
+std::string operator_manual() {
+    return "[state]\n" + schema::manual(kState) + "\n[websocket]\n" + schema::manual(kWebsocket);
+}
 
 }  // namespace elmbay
--- a/src/operator/operator_file.hpp
+++ b/src/operator/operator_file.hpp
@@ -5,6 +5,7 @@
 
 #include "base/timing.hpp"
 #include "schema/schema.hpp"
+#include "websocket/settings.hpp"
 
 namespace elmbay {
 
@@ -16,6 +17,7 @@
 
 struct OperatorFile {
     StateSettings state;
+    websocket::Settings websocket;
 };
 
 // Every problem that there is, none if the file can be used; defaults where it says nothing. Never throws.
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -146,8 +146,10 @@
         for (const auto& s : servers) list.push_back(target(index++, s.address(), state));
         return list;
     }
-    void start(std::optional<Sidecar::Remembered> remembered = {}) {
-        sidecar = std::make_unique<Sidecar>(io, parse_config(config.dump()), std::move(remembered));
+    void start(std::optional<Sidecar::Remembered> remembered = {},
+               const websocket::Settings& websocket = {}) {
+        sidecar =
+            std::make_unique<Sidecar>(io, parse_config(config.dump()), std::move(remembered), websocket);
         ASSERT_TRUE(until([&] { return discovery.requests() > 0; }));
     }
 
--- /dev/null
+++ b/tests/websocket/fuzz.cpp
@@ -0,0 +1,51 @@
+// libFuzzer on opening handshakes, both sides: whatever a peer's head says, what is passed on of it is
+// bounded and sound. `.ci/run` builds it with clang and gives it a short run.
+#include <cstdint>
+#include <cstdlib>
+#include <cstring>
+
+#include "heads.hpp"
+
+using namespace elmbay;
+using namespace elmbay::websocket;
+
+extern "C" std::size_t LLVMFuzzerMutate(std::uint8_t* data, std::size_t size, std::size_t most);
+
+// Now and then a sound head takes the place of the input, to be mutated from there.
+extern "C" std::size_t LLVMFuzzerCustomMutator(std::uint8_t* data, std::size_t size, std::size_t most,
+                                               unsigned seed) {
+    if (seed % 16 == 0 || size == 0) {
+        const std::string protocols = "\r\nSec-WebSocket-Protocol: a, b\r\n\r\n";
+        const std::string head =
+            seed % 32 == 0 ? test::ask("\r\n\r\n", protocols) : test::answer("\r\n\r\n", protocols);
+        size = std::min(head.size(), most);
+        std::memcpy(data, head.data(), size);
+    }
+    return LLVMFuzzerMutate(data, size, most);
+}
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    static const hollybeam::Site site = test::site();
+    const std::string_view text(reinterpret_cast<const char*>(data), size);
+    if (const auto head = test::parsed_ask(text); head && asks_upgrade(*head)) {
+        const auto offered = offered_by(*head);
+        if (offered.size() > kMostSubprotocols) std::abort();
+        if (!upgrade_problem(*head, site, {})) {
+            http::fields into;
+            ask_server(into, *head, 250);
+            for (const auto& f : into)
+                if (f.value().find_first_of("\r\n") != std::string_view::npos) std::abort();
+            if (into.count("X-Correlation-Id") != 1 || into.count("Sec-WebSocket-Extensions") != 0)
+                std::abort();
+            if ((into.count("Sec-WebSocket-Protocol") == 1) != !offered.empty()) std::abort();
+        }
+    }
+    if (const auto head = test::parsed_answer(text)) {
+        const ServerAnswer got = read_answer(*head, {"a", "b"});
+        const bool stands = got.outcome == hollybeam::Outcome::completed;
+        if (stands && head->result_int() != 101) std::abort();
+        if (!got.subprotocol.empty() && (!stands || (got.subprotocol != "a" && got.subprotocol != "b")))
+            std::abort();
+    }
+    return 0;
+}
--- /dev/null
+++ b/tests/websocket/heads.hpp
@@ -0,0 +1,62 @@
+// Sound heads of both handshakes, as text, and what Beast's parser makes of a text.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "websocket/handshake.hpp"
+
+namespace elmbay::websocket::test {
+
+inline hollybeam::Site site() {
+    using hollybeam::Effect;
+    hollybeam::Site site;
+    for (const auto& [name, effect] :
+         {std::pair{"safe", Effect::repeatable}, {"unsafe", Effect::once}, {"keyed", Effect::by_key}}) {
+        hollybeam::RequestClass c;
+        c.effect = effect;
+        site.settings.classes.push_back(c);
+        site.classes.emplace_back(name);
+        site.give_up.push_back(1000);
+    }
+    return site;
+}
+
+inline std::string replaced(std::string text, const std::string& from, const std::string& to) {
+    if (const auto at = text.find(from); !from.empty() && at != std::string::npos)
+        text.replace(at, from.size(), to);
+    return text;
+}
+inline std::string ask(const std::string& from, const std::string& to) {
+    return replaced(
+        "GET /api/live?t=7 HTTP/1.1\r\nHost: app.svc\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+        "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\nX-Correlation-Id: "
+        "id-1\r\n"
+        "X-Service-Class: safe\r\nX-Time-Left: 900m\r\n\r\n",
+        from, to);
+}
+inline std::string answer(const std::string& from, const std::string& to) {
+    return replaced(
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+        "Sec-WebSocket-Accept: s3pPLMBiTxaQ9kYGzzhZRbK+xOo=\r\n\r\n",
+        from, to);
+}
+
+// Nothing where it is not a whole head.
+template <class Parser>
+auto parsed(std::string_view text) -> std::optional<typename Parser::value_type> {
+    Parser parser;
+    parser.header_limit(kMostHeader);
+    boost::system::error_code error;
+    parser.put(boost::asio::buffer(text.data(), text.size()), error);
+    if (error || !parser.is_header_done()) return {};
+    return parser.get();
+}
+inline auto parsed_ask(std::string_view text) {
+    return parsed<http::request_parser<http::string_body>>(text);
+}
+inline auto parsed_answer(std::string_view text) {
+    return parsed<http::response_parser<http::string_body>>(text);
+}
+
+}  // namespace elmbay::websocket::test
