--- a/src/state/keeper.cpp
+++ b/src/state/keeper.cpp
@@ -33,7 +33,7 @@
     std::thread(run, shared_).detach();
     std::unique_lock lock(shared_->mutex);
     const bool there = shared_->changed.wait_for(lock, within, [&] { return shared_->loaded.has_value(); });
-    if (there) return *std::exchange(shared_->loaded, Store::Loaded{});
+    if (there) return std::move(*shared_->loaded);
     shared_->stopping = true;
     return {{}, "the disk has not answered in " + std::to_string(within.count()) + " ms: nothing is kept"};
 }
