The assembly moves out of src/net: src/sidecar above all fronts and backs

Need: net and websocket included each other, because the class that puts everything together lived in net; membership, replication and rolling changes need one place to be plugged in.

net/sidecar.* is src/sidecar now; what HTTP's front and back and WebSocket's handshake share (messages, intake) is src/http, what the platform tells a sidecar (config) is in src/base.

--- a/src/net/config.cpp
+++ b/src/base/config.cpp
@@ -1,4 +1,4 @@
-#include "net/config.hpp"
+#include "base/config.hpp"
 
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
--- a/src/net/intake.cpp
+++ b/src/http/intake.cpp
@@ -1,4 +1,4 @@
-#include "net/intake.hpp"
+#include "http/intake.hpp"
 
 #include <algorithm>
 #include <charconv>
--- a/src/net/intake.hpp
+++ b/src/http/intake.hpp
@@ -5,7 +5,7 @@
 #include <optional>
 
 #include "base/site.hpp"
-#include "net/message.hpp"
+#include "http/message.hpp"
 
 namespace elmbay {
 
--- a/src/net/message.cpp
+++ b/src/http/message.cpp
@@ -1,4 +1,4 @@
-#include "net/message.hpp"
+#include "http/message.hpp"
 
 namespace elmbay {
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,9 +12,9 @@
 #include <optional>
 #include <string>
 
-#include "net/config.hpp"
-#include "net/sidecar.hpp"
+#include "base/config.hpp"
 #include "operator/operator_file.hpp"
+#include "sidecar/sidecar.hpp"
 #include "state/command.hpp"
 #include "state/keeper.hpp"
 #include "state/moment.hpp"
--- a/src/net/answer.hpp
+++ b/src/net/answer.hpp
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include "net/message.hpp"
+#include "http/message.hpp"
 
 namespace elmbay {
 
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -6,9 +6,9 @@
 #include <memory>
 #include <random>
 
+#include "base/config.hpp"
 #include "base/sockets.hpp"
 #include "base/timing.hpp"
-#include "net/config.hpp"
 
 namespace elmbay {
 
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -11,11 +11,11 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "base/config.hpp"
 #include "base/sockets.hpp"
 #include "base/timing.hpp"
-#include "net/config.hpp"
-#include "net/intake.hpp"
-#include "net/message.hpp"
+#include "http/intake.hpp"
+#include "http/message.hpp"
 
 namespace elmbay {
 
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -6,8 +6,8 @@
 #include <boost/beast/http/span_body.hpp>
 #include <cmath>
 
+#include "http/intake.hpp"
 #include "net/answer.hpp"
-#include "net/intake.hpp"
 
 namespace elmbay {
 
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -8,11 +8,11 @@
 #include <map>
 #include <memory>
 
+#include "base/config.hpp"
 #include "base/sockets.hpp"
 #include "base/timing.hpp"
 #include "engine/engine.hpp"
-#include "net/config.hpp"
-#include "net/message.hpp"
+#include "http/message.hpp"
 
 namespace elmbay {
 
--- a/src/net/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -1,4 +1,4 @@
-#include "net/sidecar.hpp"
+#include "sidecar/sidecar.hpp"
 
 #include <sys/resource.h>
 
--- a/src/net/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -9,12 +9,12 @@
 #include <string>
 #include <unordered_map>
 
+#include "base/config.hpp"
 #include "base/sockets.hpp"
 #include "base/timing.hpp"
 #include "engine/engine.hpp"
-#include "net/config.hpp"
+#include "http/intake.hpp"
 #include "net/discovery.hpp"
-#include "net/intake.hpp"
 #include "net/listener.hpp"
 #include "net/upstream.hpp"
 #include "state/snapshot.hpp"
--- a/src/websocket/front.cpp
+++ b/src/websocket/front.cpp
@@ -7,7 +7,7 @@
 #include <cmath>
 #include <cstdio>
 
-#include "net/intake.hpp"
+#include "http/intake.hpp"
 #include "websocket/handshake.hpp"
 
 namespace elmbay::websocket {
--- a/src/websocket/front.hpp
+++ b/src/websocket/front.hpp
@@ -12,10 +12,10 @@
 #include <set>
 #include <unordered_map>
 
+#include "base/config.hpp"
 #include "base/sockets.hpp"
 #include "base/timing.hpp"
 #include "engine/engine.hpp"
-#include "net/config.hpp"
 #include "websocket/session.hpp"
 #include "websocket/settings.hpp"
 
--- a/src/websocket/handshake.hpp
+++ b/src/websocket/handshake.hpp
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "engine/engine.hpp"
-#include "net/intake.hpp"
+#include "http/intake.hpp"
 
 namespace elmbay::websocket {
 
--- a/src/websocket/session.hpp
+++ b/src/websocket/session.hpp
@@ -19,7 +19,7 @@
 #include <string>
 #include <vector>
 
-#include "net/message.hpp"
+#include "http/message.hpp"
 #include "websocket/settings.hpp"
 
 namespace elmbay::websocket {
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-#include "net/sidecar.hpp"
+#include "sidecar/sidecar.hpp"
 
 namespace elmbay::test {
 
