Links with faults on them: a rule engine, TCP and UDP drivers on loopback, elmbay_links

Need: nothing on our proof ground could stand between two processes. Membership, replication and rolling changes are each to be shown by processes with faults between them.

src/links/rules: directed links named by their ends; a rule names links, a time (also on and off), the nth connection or datagram, a chance, and in a stream a byte or an HTTP message; it cuts, loses, delays, repeats, reorders, slows, refuses, holds the accept, resets, half-closes, silences, stalls or garbles. Splits are a rule over groups with bridges.

--- /dev/null
+++ b/src/links/datagram_net.hpp
@@ -0,0 +1,79 @@
+// UDP between members on loopback, as PROTOCOL's "Between sidecars" has it: each member is reached under an
+// address of this net's, and its datagrams arrive from its own such address; one more address reaches all.
+// Between two members stands the link that is named after them, with the rules that hold on it.
+#pragma once
+
+#include <boost/asio/ip/udp.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "links/ground.hpp"
+
+namespace elmbay::links {
+
+using udp = asio::ip::udp;
+
+class DatagramNet {
+public:
+    static constexpr std::size_t kMostSize = 2048;  // PROTOCOL has 256; a longer one must be seen to be told
+    static constexpr std::size_t kMostHeldBack = 64;  // of one link, by reorder; the oldest goes then
+
+    // everybody: the address that reaches all but the sender; port 0 takes any.
+    DatagramNet(Ground& ground, udp::endpoint everybody);
+    ~DatagramNet();
+    DatagramNet(const DatagramNet&) = delete;
+    DatagramNet& operator=(const DatagramNet&) = delete;
+
+    // address: where others reach it; target: where it listens, and sends from. Both fixed for its life.
+    void add(const std::string& name, udp::endpoint address, udp::endpoint target);
+    udp::endpoint address_of(const std::string& name) const;
+    udp::endpoint everybody() const { return everybody_.local_endpoint(); }
+
+    struct Counts {
+        std::uint64_t sent = 0, delivered = 0, bytes = 0, too_long = 0;  // bytes: delivered
+    };
+    Counts counts(const Link& link) const;
+    Counts total() const;
+    std::uint64_t strangers() const { return strangers_; }  // from nobody's address
+    // Longer ones are counted as too long; they are passed on all the same.
+    void most_size(std::size_t bytes) { most_size_ = bytes; }
+
+private:
+    struct Member {
+        Member(asio::io_context& io) : socket(io) {}
+        std::string name;
+        udp::endpoint target;
+        udp::socket socket;
+        udp::endpoint from;
+    };
+    struct HeldBack {
+        std::uint64_t after = 0;  // goes once so many have passed
+        std::string bytes;
+        Ground::Key timer{};
+    };
+    struct State {
+        Counts counts;
+        std::uint64_t passed = 0;
+        std::deque<std::shared_ptr<HeldBack>> held;
+    };
+
+    void receive(Member& member);
+    void sent(const udp::endpoint& from, Member& to, std::string_view bytes);
+    void pass(const Link& link, std::string bytes);
+    void release(const Link& link);
+
+    Ground& ground_;
+    udp::socket everybody_;
+    udp::endpoint from_;
+    std::map<std::string, std::unique_ptr<Member>> members_;
+    std::map<udp::endpoint, Member*> by_target_;
+    std::map<Link, State> links_;
+    std::uint64_t strangers_ = 0;
+    std::size_t most_size_ = 256;
+    std::shared_ptr<bool> here_ = std::make_shared<bool>(true);
+    void receive_all();
+};
+
+}  // namespace elmbay::links
--- /dev/null
+++ b/src/links/ground.hpp
@@ -0,0 +1,80 @@
+// The driver's common ground: one loop, one clock that begins at 0, one set of rules, and all links that must
+// look again when a rule changes or a time comes. Not thread-safe: everything of one Ground runs in its loop.
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <list>
+
+#include "base/timing.hpp"
+#include "links/rules.hpp"
+
+namespace elmbay::links {
+
+class Ground {
+public:
+    Ground(asio::io_context& io, std::uint64_t seed = 1)
+        : io_(io), timers_(io, clock_), zero_(clock_.now()), rules_(seed) {}
+    Ground(const Ground&) = delete;
+    Ground& operator=(const Ground&) = delete;
+
+    Millis now() const { return clock_.now() - zero_; }
+    // Time 0 is now; rules hold by the new count.
+    void begin() {
+        zero_ = clock_.now();
+        changed();
+    }
+
+    const Rules& rules() const { return rules_; }
+    Rules& rules_for_datagrams() { return rules_; }  // a rate keeps its line there
+    void put(Rule rule) {
+        rules_.put(std::move(rule));
+        changed();
+    }
+    bool take_away(const std::string& name) {
+        const bool there = rules_.take_away(name);
+        changed();
+        return there;
+    }
+    void replace_all(std::vector<Rule> rules) {
+        rules_.replace_all(std::move(rules));
+        changed();
+    }
+
+    asio::io_context& io() { return io_; }
+    using Key = TimerQueue::Key;
+    Key at(Millis when, std::function<void()> run) { return timers_.set(zero_ + when, std::move(run)); }
+    void cancel(Key& key) { timers_.cancel(key); }
+
+    // Called after each change of what holds, from the loop or from within put() and its like.
+    using Look = std::function<void()>;
+    using Place = std::list<Look>::iterator;
+    Place watch(Look look) { return looks_.insert(looks_.end(), std::move(look)); }
+    void unwatch(Place place) { looks_.erase(place); }
+
+    // What is being read, of one connection at a time.
+    std::array<char, 64 * 1024> scratch{};
+
+private:
+    void changed() {
+        for (auto it = looks_.begin(); it != looks_.end();) (*it++)();
+        timers_.cancel(next_);
+        const Millis next = rules_.next_change(now());
+        if (next < kNever)
+            next_ = at(next, [this] {
+                next_ = {};
+                changed();
+            });
+    }
+
+    asio::io_context& io_;
+    Clock clock_;
+    TimerQueue timers_;
+    Millis zero_;
+    Rules rules_;
+    std::list<Look> looks_;
+    Key next_{};
+};
+
+}  // namespace elmbay::links
