A failed connection restarts its server's window, and only the cap excuses it; splits in incidents

At fault: OutlierEjection::below_threshold holds a server against the pool's level, and with six in ten of the pool unreachable the level less three deviations is 0.21; and 20 answers from before hide the first two failures.

Now a connection that does not come up restarts the window, and what others do is no excuse: the second in a row removes it, within the cap.

Incidents know splits and one-way cuts, in virtual time and on sockets (links between sidecars, servers and the list).

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -13,6 +13,8 @@
 #include <random>
 #include <stdexcept>
 
+#include "fleet/request_reader.hpp"
+
 namespace elmbay::fleet {
 
 namespace http = boost::beast::http;
@@ -30,37 +32,6 @@
     return e.address().to_string() + ":" + std::to_string(e.port());
 }
 
-// Ids of the requests that pass on one connection, each told once its last byte has.
-class RequestReader {
-public:
-    template <class Whole>
-    void take(std::string_view bytes, Millis now, Whole whole) {
-        pending_ += bytes;
-        while (!pending_.empty()) {
-            if (!parser_) {
-                parser_.emplace();
-                parser_->body_limit(kMostMessage);
-                parser_->eager(true);
-                first_byte_ = now;
-            }
-            Error error;
-            const std::size_t used = parser_->put(asio::buffer(pending_), error);
-            pending_.erase(0, used);
-            if (parser_->is_done()) {
-                whole(std::string(parser_->get()["X-Correlation-Id"]), first_byte_);
-                parser_.reset();
-                continue;
-            }
-            if (used == 0 || error) return;
-        }
-    }
-
-private:
-    std::string pending_;
-    Millis first_byte_ = 0;
-    std::optional<http::request_parser<http::string_body>> parser_;
-};
-
 }  // namespace
 
 // ---- a server ---------------------------------------------------------------------------------------------
--- a/src/links/ground.hpp
+++ b/src/links/ground.hpp
@@ -20,9 +20,9 @@
     Ground& operator=(const Ground&) = delete;
 
     Millis now() const { return clock_.now() - zero_; }
-    // Time 0 is now; rules hold by the new count.
-    void begin() {
-        zero_ = clock_.now();
+    // Time 0 is now, or ahead; rules hold by the new count.
+    void begin(Millis from_now = 0) {
+        zero_ = clock_.now() + from_now;
         changed();
     }
 
--- a/src/policy/ejection.cpp
+++ b/src/policy/ejection.cpp
@@ -19,9 +19,13 @@
         return Verdict::restored;
     }
     if (!says_something || s.standing != Standing::live) return Verdict::none;
+    // A connection that does not come up is another matter than the answers before it: the process, or the
+    // way there, is no longer what gave them. What others do is no excuse for it either; the cap alone is.
+    const bool unreached = c.outcome == Outcome::refused_connection;
+    if (unreached && s.window.successes() > 0) forget_window(s);
     add(s, success);
     const bool slow = c.late || c.outcome == Outcome::overdue;
-    return !success && below_threshold(s) && may_remove(c, slow) ? remove(s, now) : Verdict::none;
+    return !success && below_threshold(s, unreached) && may_remove(c, slow) ? remove(s, now) : Verdict::none;
 }
 
 OutlierEjection::Verdict OutlierEjection::remove(Server& s, Millis now) {
@@ -37,6 +41,11 @@
     if (s.in_pool) good_ += s.window.successes(), all_ += s.window.filled();
 }
 
+void OutlierEjection::forget_window(Server& s) {
+    if (s.in_pool) good_ -= s.window.successes(), all_ -= s.window.filled();
+    s.window.clear();
+}
+
 void OutlierEjection::compare_with(const std::vector<Server*>& pool) {
     good_ = all_ = 0;
     for (const Server* s : pool) good_ += s->window.successes(), all_ += s->window.filled();
@@ -44,10 +53,10 @@
 
 // 0.9 of the others' success share, less three standard errors of a window of that share. While the others
 // don't fail, this is 0.9 and nothing else.
-bool OutlierEjection::below_threshold(const Server& s) const {
+bool OutlierEjection::below_threshold(const Server& s, bool alone) const {
     const double good = good_ - (s.in_pool ? s.window.successes() : 0);
     const double all = all_ - (s.in_pool ? s.window.filled() : 0);
-    const double level = all > 0 ? good / all : 1;
+    const double level = all > 0 && !alone ? good / all : 1;
     const double noise = std::sqrt(level * (1 - level) / static_cast<double>(Window::kSize));
     const double filled = s.window.filled();
     const double benefit = std::min(kBenefit, Window::kSize - filled);
--- a/src/policy/ejection.hpp
+++ b/src/policy/ejection.hpp
@@ -44,7 +44,9 @@
 
 private:
     void add(Server& s, bool success);
-    bool below_threshold(const Server& s) const;
+    void forget_window(Server& s);
+    // alone: not held against the others of the pool.
+    bool below_threshold(const Server& s, bool alone) const;
     static bool may_remove(const Case& c, bool slow);
     static Verdict remove(Server& s, Millis now);
 
--- a/src/rehearsal/incident.cpp
+++ b/src/rehearsal/incident.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <map>
 #include <set>
+#include <sstream>
 
 #include "rehearsal/chance.hpp"
 
@@ -114,7 +115,11 @@
     {"fall_multiple", Unit::number, &RulesSpec::fall_multiple, "2.5",
      "a cold server sent more than this multiple of what it can do falls over", 1, 100},
     {"fall_span", Unit::duration, &RulesSpec::fall_span, "\"1s\"", "and this is the time looked at", 100,
-     60000}};
+     60000},
+    {"told_cold_from", Unit::share, &RulesSpec::told_cold_from, "the truth",
+     "what sidecars are told of cold_from: a bound for all machines", 0, 1},
+    {"told_warm_within", Unit::duration, &RulesSpec::told_warm_within, "the truth", "and of warm_within", 0,
+     kLongest}};
 
 const std::vector<Key<ClassSpec>> kClass{
     {"name", Unit::word, &ClassSpec::name, "", "as in X-Service-Class", 0, 0, {}, true},
@@ -174,6 +179,8 @@
                                               {"join", FaultKind::join},
                                               {"list-late", FaultKind::list_late},
                                               {"load", FaultKind::load},
+                                              {"split", FaultKind::split},
+                                              {"one-way", FaultKind::one_way},
                                               {"sidecar-kill", FaultKind::sidecar_kill},
                                               {"sidecar-restart", FaultKind::sidecar_restart},
                                               {"sidecar-reload", FaultKind::sidecar_reload}};
@@ -213,6 +220,13 @@
      0,
      0,
      {"step", "ramp", "doubling", "spikes", "square"}},
+    {"groups", Unit::words, &FaultSpec::groups, "none",
+     "split: texts of names that don't hear each other: n-3, s-1, halls (their servers and sidecars), list; "
+     "who "
+     "stands in several bridges them"},
+    {"from", Unit::words, &FaultSpec::from, "none", "one-way: whose bytes are lost"},
+    {"to", Unit::words, &FaultSpec::to, "none", "one-way: on their way to whom"},
+    {"flaps", Unit::flag, &FaultSpec::flaps, "false", "split, one-way: on for `pause` each `every`"},
     {"only", Unit::word, &FaultSpec::only, "the usual mix",
      "load: the class of what is asked beyond the usual"}};
 
@@ -223,7 +237,10 @@
     return kind == FaultKind::sidecar_kill || kind == FaultKind::sidecar_restart ||
            kind == FaultKind::sidecar_reload;
 }
-bool hits_nobody(FaultKind kind) { return kind == FaultKind::list_late || kind == FaultKind::load; }
+bool hits_links(FaultKind kind) { return kind == FaultKind::split || kind == FaultKind::one_way; }
+bool hits_nobody(FaultKind kind) {
+    return kind == FaultKind::list_late || kind == FaultKind::load || hits_links(kind);
+}
 
 std::optional<std::uint32_t> numbered(const std::string& name, const char* prefix, std::uint64_t count) {
     if (!name.starts_with(prefix)) return {};
@@ -233,6 +250,48 @@
     return number;
 }
 
+// Names as links know them; a hall is all that stands in it.
+std::vector<std::string> ends_of(const std::vector<std::string>& names, const Incident& incident,
+                                 const std::string& key, std::uint32_t line, Problems& problems) {
+    const auto halls = static_cast<std::uint32_t>(incident.fleet.halls.size());
+    std::vector<std::string> ends;
+    for (const std::string& text : names) {
+        std::istringstream words(text);
+        for (std::string name; words >> name;) {
+            const auto hall = std::find(incident.fleet.halls.begin(), incident.fleet.halls.end(), name);
+            if (hall != incident.fleet.halls.end()) {
+                const auto nth = static_cast<std::uint32_t>(hall - incident.fleet.halls.begin());
+                for (std::uint32_t i = nth; i < incident.fleet.servers; i += halls)
+                    ends.push_back("s-" + std::to_string(i));
+                for (std::uint32_t i = nth; i < incident.sidecars.count; i += halls)
+                    ends.push_back("n-" + std::to_string(i));
+            } else if (name == "list" || name == "*" || numbered(name, "s-", incident.fleet.servers) ||
+                       numbered(name, "n-", incident.sidecars.count)) {
+                ends.push_back(name);
+            } else {
+                problems.push_back({line, key, "'" + name + "' is no sidecar, server or hall, nor 'list'"});
+            }
+        }
+    }
+    return ends;
+}
+
+void check_links(FaultSpec& fault, std::size_t nth, const Incident& incident, Problems& problems) {
+    const std::string key = "fault " + std::to_string(nth + 1);
+    for (std::string& group : fault.groups) {
+        std::string ends;
+        for (const std::string& e : ends_of({group}, incident, key + ".groups", fault.line, problems))
+            ends += (ends.empty() ? "" : " ") + e;
+        group = ends;
+    }
+    fault.from = ends_of(fault.from, incident, key + ".from", fault.line, problems);
+    fault.to = ends_of(fault.to, incident, key + ".to", fault.line, problems);
+    if (fault.kind == FaultKind::split && fault.groups.size() < 2)
+        problems.push_back({fault.line, key + ".groups", "takes two groups at least"});
+    if (fault.kind == FaultKind::one_way && (fault.from.empty() || fault.to.empty()))
+        problems.push_back({fault.line, key, "needs from and to"});
+}
+
 // Shares are rounded up, so that a small share of a small fleet still hits somebody, and drawn by the seed.
 void select(FaultSpec& fault, std::size_t nth, const Incident& incident, Problems& problems) {
     if (hits_nobody(fault.kind)) return;
@@ -291,7 +350,7 @@
                 if (!joins.emplace(s, &f).second)
                     problems.push_back({f.line, "fault.who", "s-" + std::to_string(s) + " joins twice"});
     for (const FaultSpec& f : incident.faults) {
-        if (f.kind == FaultKind::join) continue;
+        if (f.kind == FaultKind::join || hits_links(f.kind)) continue;  // rules of links may overlap
         const std::string group = ends_the_process(f.kind) ? "end"
                                   : hits_sidecars(f.kind)  ? "sidecar"
                                                            : f.kind_name;
@@ -382,10 +441,12 @@
         if (!f.only.empty() && !names.contains(f.only))
             problems.push_back({f.line, "fault " + std::to_string(i + 1) + ".only",
                                 "'" + f.only + "' is no class of this file"});
-        const bool pulses = f.kind == FaultKind::freeze || (f.kind == FaultKind::load && f.shape == "spikes");
+        const bool pulses =
+            f.kind == FaultKind::freeze || f.flaps || (f.kind == FaultKind::load && f.shape == "spikes");
         if (pulses && f.pause >= f.every)
             problems.push_back(
                 {f.line, "fault " + std::to_string(i + 1) + ".pause", "must be shorter than 'every'"});
+        if (hits_links(f.kind)) check_links(f, i, incident, problems);
         if (hits_sidecars(f.kind) && f.lasts == 0) f.lasts = 1000;
         select(f, i, incident, problems);
     }
@@ -409,6 +470,35 @@
     });
 }
 
+std::vector<links::Rule> Incident::link_rules() const {
+    std::vector<links::Rule> rules;
+    for (const FaultSpec& f : faults) {
+        if (!hits_links(f.kind)) continue;
+        links::Rule rule;
+        rule.name = f.name + " " + std::to_string(rules.size() + 1);
+        for (const std::string& group : f.groups) {
+            std::istringstream words(group);
+            rule.groups.emplace_back();
+            for (std::string name; words >> name;) rule.groups.back().push_back(name);
+        }
+        if (f.kind == FaultKind::one_way) rule.from = f.from, rule.to = f.to;
+        rule.at = f.at;
+        rule.lasts = f.lasts > 0 ? f.lasts : std::max(1.0, overview.length - f.at);
+        // One that flaps is a rule for each time that it is on: so it ends with its last.
+        if (!f.flaps) {
+            rules.push_back(rule);
+            continue;
+        }
+        for (Millis t = f.at; t < f.at + rule.lasts; t += f.every) {
+            links::Rule once = rule;
+            once.name += " at " + std::to_string(static_cast<long>(t));
+            once.at = t, once.lasts = std::min(f.pause, f.at + rule.lasts - t);
+            rules.push_back(std::move(once));
+        }
+    }
+    return rules;
+}
+
 hollybeam::Settings Incident::settings(std::uint32_t sidecar) const {
     hollybeam::Settings s;
     for (const ClassSpec& c : classes) {
@@ -424,8 +514,8 @@
     s.siblings = static_cast<std::uint32_t>(sidecars.count);
     s.max_attempts = static_cast<std::uint32_t>(sidecars.max_attempts);
     s.may_cancel = true;
-    s.cold_from = fleet.cold_from;
-    s.warm_within = fleet.warm_within;
+    s.cold_from = rules.told_cold_from > 0 ? rules.told_cold_from : fleet.cold_from;
+    s.warm_within = rules.told_warm_within > 0 ? rules.told_warm_within : fleet.warm_within;
     s.fall_multiple = rules.fall_multiple;
     s.fees.cross_zone = 0.02;
     return s;
--- a/src/rehearsal/incident.hpp
+++ b/src/rehearsal/incident.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "hollybeam/balancer.hpp"
+#include "links/rules.hpp"
 #include "schema/schema.hpp"
 
 namespace elmbay::rehearsal {
@@ -76,6 +77,10 @@
     Millis drain_grace = 500;
     double fall_multiple = 2.5;
     Millis fall_span = 1000;
+    // What sidecars are told of cold starts, where it is less than the truth: the settings of a site are
+    // bounds for all its machines. 0: the truth.
+    double told_cold_from = 0;
+    Millis told_warm_within = 0;
 };
 
 struct ClassSpec {
@@ -118,6 +123,8 @@
     join,       // a server that was off until now starts cold
     list_late,  // the list falls `delay` further behind
     load,       // callers ask `times` as often
+    split,      // `groups` don't hear each other
+    one_way,    // nothing of `from` gets to `to`; the other way all does
     sidecar_kill,
     sidecar_restart,  // SIGTERM, then started again
     sidecar_reload    // discovery moves and SIGHUP says so
@@ -134,8 +141,10 @@
     double share = 0.5;
     Millis delay = 5000, linger = 3000, apart = 0;  // apart: between one server's drain and the next one's
     double times = 4;
-    std::string shape = "step";  // load: step, ramp, doubling, spikes, square
-    std::string only;            // load: the class of what is asked beyond the usual; none: the usual mix
+    std::string shape = "step";                 // load: step, ramp, doubling, spikes, square
+    std::vector<std::string> groups, from, to;  // split, one-way: names, halls (servers and sidecars), "list"
+    bool flaps = false;                         // split, one-way: on for `pause` every `every`
+    std::string only;  // load: the class of what is asked beyond the usual; none: the usual mix
 
     std::vector<std::uint32_t> hit;  // numbers of servers or sidecars, in order; filled by the check
     Millis begins(std::size_t nth) const { return at + apart * static_cast<double>(nth); }
@@ -157,6 +166,8 @@
         return server % static_cast<std::uint32_t>(fleet.halls.size());
     }
     bool starts_off(std::uint32_t server) const;  // it joins later
+    // What splits and one-way faults do to links between n-I, s-J and "list".
+    std::vector<links::Rule> link_rules() const;
     // The settings that a decision module gets for this incident.
     hollybeam::Settings settings(std::uint32_t sidecar) const;
 };
--- a/src/rehearsal/real/real_run.cpp
+++ b/src/rehearsal/real/real_run.cpp
@@ -11,6 +11,8 @@
 #include <random>
 
 #include "fleet/process.hpp"
+#include "fleet/request_reader.hpp"
+#include "links/stream_link.hpp"
 #include "rehearsal/chance.hpp"
 #include "rehearsal/real/stand_in_callers.hpp"
 #include "rehearsal/real/stand_in_discovery.hpp"
@@ -25,6 +27,7 @@
 
 constexpr Millis kReadyWithin = 15000;  // of all sidecars
 constexpr Millis kReadyLook = 20, kProcessLook = 20;
+constexpr Millis kLongAhead = 3600000;  // no sidecar takes so long to be ready
 constexpr Millis kBeforeFirst = 300;    // between the last sidecar's readiness and time 0
 constexpr Millis kTermWithin = 4000;    // PROTOCOL: longest deadline (3 s at most) and 0.7 s; then SIGKILL
 constexpr std::size_t kLogShown = 600;  // of a sidecar's log, when it does not come up
@@ -79,6 +82,11 @@
             log_.open(options.log);
             if (!log_) throw std::runtime_error(options.log + ": can't be written");
         }
+        if (auto rules = incident.link_rules(); !rules.empty()) {
+            ground_.emplace(stage_.io, incident.overview.seed);
+            ground_->begin(kLongAhead);  // nothing holds before time 0
+            ground_->replace_all(std::move(rules));
+        }
         for (std::uint32_t i = 0; i < archive_.count(); ++i)
             servers_.push_back(std::make_unique<StandInServer>(stage_, archive_, judge_, service_, callers_,
                                                                i, tcp::endpoint(loopback(run_, i), 0)));
@@ -90,6 +98,7 @@
         for (Side& side : sides_) side.process->start();
         wait_ready();
         stage_.begin(kBeforeFirst);
+        if (ground_) ground_->begin(kBeforeFirst);
         for (Side& side : sides_) side.discovery->resume();
         begin();
         while (!over_) stage_.io.run_one();
@@ -108,6 +117,53 @@
         std::uint32_t life = 0;
     };
 
+    // ---- links, where the incident has faults on them: between each sidecar, its servers and its list
+    tcp::endpoint way_to_server(std::uint32_t i, std::uint32_t s) {
+        if (!ground_) return servers_[s]->endpoint();
+        auto& link = links_[{i, s}];
+        link = std::make_unique<links::StreamLink>(
+            *ground_, links::Link{"n-" + std::to_string(i), "s-" + std::to_string(s)},
+            tcp::endpoint(servers_[s]->endpoint().address(), 0), servers_[s]->endpoint());
+        if (!archive_.there_at_start(s)) link->target(links::StreamLink::Target::down);
+        watch(*link);
+        servers_[s]->sent_at = [this](TryId id) {
+            const auto at = sent_at_.find(id);
+            return at == sent_at_.end() ? stage_.now() : at->second;
+        };
+        return link->endpoint();
+    }
+    tcp::endpoint way_to_list(std::uint32_t i) {
+        const tcp::endpoint list = sides_[i].discovery->endpoint();
+        if (!ground_) return list;
+        auto& links = list_links_[i];  // the last is the one in use; those before stay until they are closed
+        if (links.empty() || links.back().first != list)
+            links.emplace_back(list, std::make_unique<links::StreamLink>(
+                                         *ground_, links::Link{"n-" + std::to_string(i), "list"},
+                                         tcp::endpoint(list.address(), 0), list));
+        return links.back().second->endpoint();
+    }
+    void watch(links::StreamLink& link) {
+        const auto readers = std::make_shared<std::map<std::uint64_t, fleet::RequestReader>>();
+        links::StreamLink::Tap tap;
+        tap.sent = [this, readers](std::uint64_t nth, std::string_view bytes) {
+            (*readers)[nth].take(bytes, stage_.now(), [this](const std::string& id, Millis first_byte) {
+                if (const auto number = StandInServer::id_of(id)) sent_at_[*number] = first_byte;
+            });
+        };
+        tap.over = [readers](std::uint64_t nth) { readers->erase(nth); };
+        link.tap(std::move(tap));
+    }
+    // What the kernel says for a server that has gone, its links must say.
+    void tell_links(const Step& s) {
+        using Target = links::StreamLink::Target;
+        if (s.change != Change::stop && s.change != Change::vanish && s.change != Change::start) return;
+        const Target target = s.change == Change::stop     ? Target::down
+                              : s.change == Change::vanish ? Target::deaf
+                                                           : Target::up;
+        for (auto& [ends, link] : links_)
+            if (ends.second == s.who) link->target(target);
+    }
+
     // ---- before the start
     void add_sidecar(std::uint32_t i) {
         Side side;
@@ -118,7 +174,7 @@
         probe.close();
         std::vector<Entry> entries;
         for (std::uint32_t s = 0; s < archive_.count(); ++s)
-            entries.push_back({s, servers_[s]->endpoint(), incident_.fleet.halls[incident_.hall_of(s)],
+            entries.push_back({s, way_to_server(i, s), incident_.fleet.halls[incident_.hall_of(s)],
                                archive_.there_at_start(s) ? Phase::on : Phase::off, 0});
         side.discovery = std::make_unique<StandInDiscovery>(stage_, judge_, i, std::move(entries), address);
         const std::string command = options_.sidecar;
@@ -155,7 +211,7 @@
         const json config = {
             {"name", "n-" + std::to_string(i)},
             {"listen", text_of(side.listen)},
-            {"discovery", text_of(side.discovery->endpoint())},
+            {"discovery", text_of(way_to_list(i))},
             {"seed", seed},
             {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", incident_.sidecars.sockets}}},
             {"known", listing_of(side.discovery->entries(), side.discovery->rev(), true, stage_)},
@@ -285,7 +341,10 @@
         step_hash_ = fnv1a(text_of_step(s), step_hash_);
         executed_.push_back(text_of_step(s));
         note("step " + text_of_step(s));
-        if (!s.sidecar()) return servers_[s.who]->apply(s);
+        if (!s.sidecar()) {
+            servers_[s.who]->apply(s);
+            return tell_links(s);
+        }
         Side& side = sides_[s.who];
         switch (s.change) {
             case Change::sidecar_kill:
@@ -369,6 +428,11 @@
     const std::vector<Notice> notices_;
     const std::uint32_t run_;
     std::vector<std::unique_ptr<StandInServer>> servers_;
+    std::optional<links::Ground> ground_;
+    std::map<std::pair<std::uint32_t, std::uint32_t>, std::unique_ptr<links::StreamLink>> links_;
+    std::map<std::uint32_t, std::vector<std::pair<tcp::endpoint, std::unique_ptr<links::StreamLink>>>>
+        list_links_;
+    std::unordered_map<TryId, Millis> sent_at_;  // of each try its last attempt
     std::vector<Side> sides_;
     std::ofstream log_;
     std::vector<std::string> executed_, notes_;
--- a/src/rehearsal/real/stand_in_server.cpp
+++ b/src/rehearsal/real/stand_in_server.cpp
@@ -19,15 +19,15 @@
 // With a backlog of 0 the kernel queues one connection; one more to be sure.
 constexpr int kFillers = 2;
 
-std::optional<TryId> id_of(const std::string& text) {
+}  // namespace
+
+std::optional<TryId> StandInServer::id_of(const std::string& text) {
     TryId id = 0;
     const auto [end, wrong] = std::from_chars(text.data(), text.data() + text.size(), id, 16);
     if (wrong != std::errc() || end != text.data() + text.size() || text.size() != 16) return {};
     return id;
 }
 
-}  // namespace
-
 // Reads all the time: a sidecar that gives up shows it by closing, also while its request is in work.
 class StandInServer::Connection : public std::enable_shared_from_this<Connection> {
 public:
@@ -217,7 +217,7 @@
     }
     const std::uint32_t sidecar = callers_.ask(request_of(*id)).sidecar;
     connection->id = *id;
-    connection->judged = judge_.sent(now, *id, number_, sidecar);
+    connection->judged = judge_.sent(sent_at ? sent_at(*id) : now, *id, number_, sidecar);
     const ServerLoad load{callers_.attempt_work(request_of(*id), number_), model().capacity(now),
                           model().started(), model().cold(now)};
     connection->ticket = archive_.arrive(now, number_, *id, out_);
--- a/src/rehearsal/real/stand_in_server.hpp
+++ b/src/rehearsal/real/stand_in_server.hpp
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "rehearsal/archive.hpp"
@@ -26,6 +28,12 @@
     StandInServer(const StandInServer&) = delete;
     StandInServer& operator=(const StandInServer&) = delete;
 
+    // Where a link stands between: when the sidecar wrote the first byte, which is what drains count.
+    std::function<Millis(TryId)> sent_at{};
+
+    // As PROTOCOL's ids are written; none: not one of ours.
+    static std::optional<TryId> id_of(const std::string& text);
+
     void apply(const Step& step);
     tcp::endpoint endpoint() const { return endpoint_; }
     std::uint64_t connections() const { return accepted_; }
--- a/src/rehearsal/timeline.cpp
+++ b/src/rehearsal/timeline.cpp
@@ -56,6 +56,8 @@
             break;
         case FaultKind::list_late:
         case FaultKind::load:
+        case FaultKind::split:
+        case FaultKind::one_way:
             break;  // not of one server: see notices() and load_at()
     }
 }
--- a/src/rehearsal/virtual_run.cpp
+++ b/src/rehearsal/virtual_run.cpp
@@ -106,12 +106,14 @@
           service_(incident, callers_),
           steps_(timeline(incident)),
           notices_(notices(incident, steps_)),
+          links_(incident.overview.seed),
           epochs_(archive_.count(), 0),
           poll_at_(archive_.count(), -1) {
         for (std::uint32_t i = 0; i < archive_.count(); ++i) listed_.push_back(info_of(i, Phase::on, 0));
         for (std::uint32_t i = 0; i < archive_.count(); ++i)
             if (!archive_.there_at_start(i)) listed_[i].phase = Phase::off;
         instances_.resize(incident.sidecars.count);
+        links_.replace_all(incident.link_rules());
     }
 
     Report run() {
@@ -154,6 +156,7 @@
         queue_.push({std::max(at, now_), ++number_, what, who, a, b});
     }
     void happen(const Happening& h) {
+        if (over_cut_link(h)) return;
         switch (h.what) {
             case What::ask:
                 return ask(h);
@@ -191,6 +194,38 @@
         }
     }
 
+    // ---- links
+    static std::string sidecar_name(std::uint32_t who) { return "n-" + std::to_string(who); }
+    static std::string server_name(std::uint32_t who) { return "s-" + std::to_string(who); }
+    bool cut(const links::Link& link) const {
+        return !links_.all().empty() && links_.cut(link, links::Medium::stream, now_);
+    }
+    // Whatever is on its way over a cut link waits, as for retransmission. Whether it does.
+    bool waits(const links::Link& link, const Happening& h) {
+        if (!cut(link)) return false;
+        const Millis next = links_.next_change(now_);
+        if (next < links::kNever) put(next, h.what, h.who, h.a, h.b);
+        return true;
+    }
+    bool over_cut_link(const Happening& h) {
+        if (links_.all().empty()) return false;
+        if (h.what == What::told && h.b == 1) return waits({"list", sidecar_name(h.who)}, h);
+        if (h.what != What::arrive && h.what != What::reply) return false;
+        const auto at = attempts_.find(h.a);
+        if (at == attempts_.end()) return false;
+        const Attempt& a = at->second;
+        const links::Link forth{sidecar_name(a.sidecar), server_name(a.server)};
+        if (h.what == What::arrive) {
+            if (!a.fresh || a.connected) return waits(forth, h);
+            if (!cut(forth) && !cut(forth.back())) return false;
+            // Its connection does not come up while the link is cut: tried until the sidecar gives it up.
+            never_up(at->second, h.a, std::max(0.0, a.sent + incident_.fleet.connect_timeout - now_));
+            return true;
+        }
+        // What the sidecar finds out by itself needs no link.
+        return a.outcome != Outcome::refused_connection && waits(forth.back(), h);
+    }
+
     // ---- callers
     // Arrivals enter the queue one at a time: millions of them need not be in it together.
     void ask_next() {
@@ -649,6 +684,7 @@
     Service service_;
     const std::vector<Step> steps_;
     const std::vector<Notice> notices_;
+    links::Rules links_;
     std::vector<Instance> instances_;
     std::vector<ServerInfo> listed_;
     std::vector<std::uint32_t> epochs_;  // by server: its connections of an earlier one are gone
--- a/tests/policy/parts_test.cpp
+++ b/tests/policy/parts_test.cpp
@@ -160,6 +160,23 @@
                 << "all fail alike: nobody goes";
 }
 
+// A sidecar cut off from most of its pool: the answers from before, and that most fail alike, excuse nobody.
+TEST(EjectionPart, OneThatCantBeConnectedToGoesWhateverItAnsweredBeforeAndWhoeverElseFails) {
+    Pool pool(8);
+    for (int i = 0; i < 20; ++i)
+        for (std::size_t s = 0; s < 8; ++s) pool.judge(s, Outcome::completed);
+    for (std::size_t s = 0; s < 4; ++s)
+        EXPECT_EQ(pool.judge(s, Outcome::refused_connection, false, s), Verdict::none)
+            << "the first alone is chance";
+    for (std::size_t s = 0; s < 4; ++s)
+        EXPECT_EQ(pool.judge(s, Outcome::refused_connection, false, s), Verdict::removed) << s;
+    EXPECT_EQ(pool.judge(4, Outcome::refused_connection, false, 4), Verdict::none);
+    EXPECT_EQ(pool.judge(4, Outcome::refused_connection, false, 4), Verdict::none) << "half stays";
+    pool.judge(5, Outcome::refused_connection, false, 0);
+    pool.judge(5, Outcome::completed);
+    EXPECT_EQ(pool.judge(5, Outcome::refused_connection, false, 0), Verdict::none) << "it came up in between";
+}
+
 TEST(EjectionPart, HalfStaysAndThreeQuartersIfItIsForSlowness) {
     Pool errors(8), slow(8);
     for (int i = 0; i < 4; ++i) {
--- a/tests/rehearsal/real_test.cpp
+++ b/tests/rehearsal/real_test.cpp
@@ -6,6 +6,7 @@
 
 #include "fleet/process.hpp"
 #include "rehearsal/real/real_run.hpp"
+#include "rehearsal/virtual_run.hpp"
 
 namespace elmbay::rehearsal {
 namespace {
@@ -135,6 +136,29 @@
     }
 }
 
+// A hall is cut off for a second, one way for another: on sockets as in virtual time, and the rules hold.
+TEST(Real, ASplitOnSocketsCutsTheSameRequestsOffAsInVirtualTime) {
+    const std::string text = std::string(kShort).substr(0, std::string(kShort).find("[[fault]]")) +
+                             "[[fault]]\nkind = \"split\"\nat = \"1s\"\nlasts = \"1500ms\"\n"
+                             "groups = [\"hall-a\", \"hall-b hall-c\"]\n"
+                             "[[fault]]\nkind = \"one-way\"\nat = \"3s\"\nlasts = \"500ms\"\n"
+                             "from = [\"hall-b\"]\nto = [\"hall-a\"]\n"
+                             "[[fault]]\nkind = \"drain\"\nat = \"1200ms\"\nwho = \"s-2\"\n";
+    const Report real = play(text);
+    const Report simulated = run_virtual(parse_incident(text, "f.toml"), {});
+    EXPECT_TRUE(simulated.rules_kept()) << text_of(simulated);
+    if (real.punctuality.trusted()) {
+        EXPECT_TRUE(real.rules_kept()) << text_of(real);
+    }
+    EXPECT_GT(served(real), real.requests * 8 / 10) << text_of(real);
+    // What is on its way over a connection that stood waits for the link: most of a second and a half.
+    for (const Report& report : {real, simulated}) {
+        Millis most = 0;
+        for (const ClassReport& c : report.service.classes) most = std::max(most, c.most);
+        EXPECT_GT(most, 700) << text_of(report);
+    }
+}
+
 TEST(Real, ASidecarThatDoesNotComeUpIsToldWithWhatItSaid) {
     const Incident incident = parse_incident("length = \"1s\"\n", "f.toml");
     RealOptions options;
