A wait for the list that nobody waited out does not use up the next one's time

Seen on reading once more: Upstream::list_first reset its start only when an attempt asked again. If the last one that waited was withdrawn meanwhile, the start stayed, and the next unread line, minutes later, was not waited for at all. The look that follows each wait resets it now.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -342,6 +342,8 @@
     if (!std::exchange(list_look_posted_, true))
         asio::post(io_, [this] {
             list_look_posted_ = false;
+            // Also where nobody waits any more: the next wait has a time of its own.
+            if (!gate_.list_unread()) list_waited_since_ = -1;
             for (auto& [id, server] : servers_) assign(server);
         });
     return true;
