--- a/src/fleet/process.cpp
+++ b/src/fleet/process.cpp
@@ -97,6 +97,7 @@
         ::dup2(log_file, STDOUT_FILENO);
         ::dup2(log_file, STDERR_FILENO);
         ::close_range(STDERR_FILENO + 1, ~0U, 0);
+        ::signal(SIGPIPE, SIG_DFL);  // links ignore it, and what is ignored stays so over execve(2)
         sigset_t none;
         sigemptyset(&none);
         sigprocmask(SIG_SETMASK, &none, nullptr);
--- a/src/links/datagram_net.cpp
+++ b/src/links/datagram_net.cpp
@@ -92,6 +92,7 @@
     State& state = links_[link];
     ++state.counts.sent;
     if (bytes.size() > most_size_) ++state.counts.too_long;
+    if (tap_) tap_(link, bytes.size(), false);
     const auto deliveries =
         ground_.rules_for_datagrams().datagram(link, state.counts.sent, bytes.size(), ground_.now());
     for (const Rules::Delivery& d : deliveries) {
@@ -129,6 +130,7 @@
     ++state.passed;
     ++state.counts.delivered;
     state.counts.bytes += bytes.size();
+    if (tap_) tap_(link, bytes.size(), true);
 }
 
 void DatagramNet::release(const Link& link) {
--- a/src/links/datagram_net.hpp
+++ b/src/links/datagram_net.hpp
@@ -36,6 +36,9 @@
     };
     Counts counts(const Link& link) const;
     Counts total() const;
+    // Told of each datagram as it comes from its sender, and as it goes to its receiver.
+    using Tap = std::function<void(const Link& link, std::size_t bytes, bool delivered)>;
+    void tap(Tap tap) { tap_ = std::move(tap); }
     std::uint64_t strangers() const { return strangers_; }  // from nobody's address
     // Longer ones are counted as too long; they are passed on all the same.
     void most_size(std::size_t bytes) { most_size_ = bytes; }
@@ -72,6 +75,7 @@
     std::map<Link, State> links_;
     std::uint64_t strangers_ = 0;
     std::size_t most_size_ = 256;
+    Tap tap_;
     std::shared_ptr<bool> here_ = std::make_shared<bool>(true);
     void receive_all();
 };
--- a/src/links/ground.hpp
+++ b/src/links/ground.hpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <boost/asio/io_context.hpp>
+#include <csignal>
 #include <functional>
 #include <list>
 
@@ -14,8 +15,12 @@
 
 class Ground {
 public:
+    // From now on the process ignores SIGPIPE: splice(2) has no flag against it, and who is written to may
+    // go.
     Ground(asio::io_context& io, std::uint64_t seed = 1)
-        : io_(io), timers_(io, clock_), zero_(clock_.now()), rules_(seed) {}
+        : io_(io), timers_(io, clock_), zero_(clock_.now()), rules_(seed) {
+        std::signal(SIGPIPE, SIG_IGN);
+    }
     Ground(const Ground&) = delete;
     Ground& operator=(const Ground&) = delete;
 
--- a/src/links/stream_link.cpp
+++ b/src/links/stream_link.cpp
@@ -4,6 +4,8 @@
 
 #include <deque>
 
+#include "links/pipe.hpp"
+
 namespace elmbay::links {
 
 using Error = boost::system::error_code;
@@ -56,6 +58,9 @@
         std::size_t waiting = 0, written = 0;  // bytes in steps; of the first step, passed on already
         bool reading = false, writing = false, ended = false, passed_end = false;
         Ground::Key timer{};
+        Pipe pipe{};        // what is inside goes before steps
+        bool bulk = false;  // its last read brought as much as a read takes: the next may go by the pipe
+        std::size_t kept() const { return waiting + pipe.held(); }
     };
     Way& other(const Way& way) { return &way == &forth_ ? back_ : forth_; }
     bool cut(const Way& way) const { return &way == &forth_ ? link_->cut_forth_ : link_->cut_back_; }
@@ -81,7 +86,7 @@
     }
 
     void read(Way& way) {
-        if (way.reading || way.ended || way.waiting >= kMostWaiting) return;
+        if (way.reading || way.ended || way.kept() >= kMostWaiting) return;
         way.reading = true;
         way.socket.async_wait(tcp::socket::wait_read, [self = shared_from_this(), &way](Error error) {
             way.reading = false;
@@ -90,7 +95,31 @@
         });
     }
 
+    // Whether bytes of now pass on as they are, with nobody looking and nothing before them.
+    bool untouched(const Way& way) const {
+        return way.steps.empty() && way.pipe.held() == 0 && !way.writing && !cut(way) && way.flow.plain();
+    }
+    bool watched(const Way& way) const {
+        return &way == &forth_ ? static_cast<bool>(link_->tap_.sent) : static_cast<bool>(link_->tap_.got);
+    }
+    // Much at once goes through the kernel alone. Whether it did; else it has to be read.
+    bool splice(Way& way) {
+        if (!way.bulk || watched(way) || !untouched(way) || !way.pipe.open()) return false;
+        if (way.pipe.fill_from(way.socket.native_handle()) != Pipe::Moved::some) {
+            way.bulk = false;
+            return false;
+        }
+        (&way == &forth_ ? link_->forth_ : link_->back_) += way.pipe.last();
+        way.flow.skip(way.pipe.last());
+        return true;
+    }
+
     void receive(Way& way) {
+        if (splice(way)) {
+            deliver(way);
+            if (link_) read(way);
+            return;
+        }
         auto& scratch = link_->ground_.scratch;
         std::vector<Step> steps;
         Error error;
@@ -104,9 +133,10 @@
         } else {
             (&way == &forth_ ? link_->forth_ : link_->back_) += n;
             if (&way == &forth_ && link_->tap_.sent) link_->tap_.sent(nth_, {scratch.data(), n});
+            way.bulk = n >= kBulk;
             std::string_view bytes(scratch.data(), n);
             // Where no rule has a word, all that the other end takes at once goes without being kept.
-            if (way.steps.empty() && !way.writing && !cut(way) && way.flow.plain()) {
+            if (untouched(way)) {
                 const std::size_t passed = other(way).socket.write_some(asio::buffer(bytes), error);
                 if (&way == &back_ && link_->tap_.got && passed > 0)
                     link_->tap_.got(nth_, bytes.substr(0, passed));
@@ -128,6 +158,12 @@
     void deliver(Way& way) {
         if (way.writing) return;
         link_->ground_.cancel(way.timer);
+        while (way.pipe.held() > 0) {
+            if (cut(way)) return;  // look() comes back
+            const Pipe::Moved moved = way.pipe.empty_to(other(way).socket.native_handle());
+            if (moved == Pipe::Moved::would_block) return await_room(way);
+            if (moved != Pipe::Moved::some) return close(true);
+        }
         while (!way.steps.empty()) {
             if (cut(way)) return;  // look() comes back
             Step& step = way.steps.front();
@@ -152,14 +188,7 @@
             Error error;
             const std::size_t n = to.write_some(
                 asio::buffer(step.bytes.data() + way.written, step.bytes.size() - way.written), error);
-            if (error == asio::error::would_block) {
-                way.writing = true;
-                to.async_wait(tcp::socket::wait_write, [self = shared_from_this(), &way](Error failed) {
-                    way.writing = false;
-                    if (self->link_ && !failed) self->deliver(way);
-                });
-                return;
-            }
+            if (error == asio::error::would_block) return await_room(way);
             if (!error && &way == &back_ && link_->tap_.got)
                 link_->tap_.got(nth_, {step.bytes.data() + way.written, n});
             if (error) return close(true);  // it is no longer there: the sender hears of it
@@ -173,6 +202,15 @@
         read(way);
     }
 
+    void await_room(Way& way) {
+        way.writing = true;
+        other(way).socket.async_wait(tcp::socket::wait_write,
+                                     [self = shared_from_this(), &way](Error failed) {
+                                         way.writing = false;
+                                         if (self->link_ && !failed) self->deliver(way);
+                                     });
+    }
+
     void told_over() {
         if (!std::exchange(told_over_, true) && link_->tap_.over) link_->tap_.over(nth_);
     }
--- a/tests/links/stream_test.cpp
+++ b/tests/links/stream_test.cpp
@@ -105,6 +105,31 @@
     ASSERT_TRUE(rig.until([&] { return rig.link.open() == 0; }));
 }
 
+// A lot at once goes by splice(2); a cut on the way holds it back and loses nothing of it.
+TEST(StreamLink, ManyBytesPassWholeAcrossACutAndASlowReader) {
+    Rig rig;
+    const auto a = rig.both_up();
+    const auto b = rig.accepted.back();
+    std::string much(24'000'000, '\0');
+    for (std::size_t i = 0; i < much.size(); ++i) much[i] = static_cast<char>(i * 31 >> 5);
+    asio::async_write(a->socket, asio::buffer(much),
+                      [&](Error, std::size_t) { a->socket.shutdown(tcp::socket::shutdown_send); });
+    ASSERT_TRUE(rig.until([&] { return b->got.size() > 4'000'000; }));
+    rig.put("cut", Act::cut, "a", "b");
+    rig.quiet();
+    const std::size_t held = b->got.size();
+    rig.quiet();
+    EXPECT_EQ(b->got.size(), held);
+    EXPECT_FALSE(b->ended);
+    rig.ground.take_away("cut");
+    ASSERT_TRUE(rig.until([&] { return b->got.size() > held + 4'000'000; }));
+    // From here on a rule has a word: what is in the pipe still goes first.
+    rig.put("late", Act::delay, "a", "b");
+    ASSERT_TRUE(rig.until([&] { return b->ended; }));
+    EXPECT_TRUE(b->got == much);
+    EXPECT_EQ(rig.link.bytes_forth(), much.size());
+}
+
 TEST(StreamLink, WhileCutNothingPassesAndNothingComesUpAndAfterItAllDoes) {
     Rig rig;
     const auto a = rig.both_up();
