Campaigns look for leaks; a test with an older memory under the same name; shrink for any list

A campaign's end now asks each process what it counts and looks at its descriptors: the planted leak, which no campaign found, is found by a schedule of resets; the sound program comes through the same. The older memory: a life that starts from a state in which a server was failing takes it as removed, tries it again in its time, and nobody loses an outcome.

--- a/src/fleet/campaign.cpp
+++ b/src/fleet/campaign.cpp
@@ -103,7 +103,13 @@
         }
         for (std::size_t j = 0; j < servers(); ++j) fleet_.server(j).conduct = Conduct::serve;
         kept = kept && fleet_.settle();
-        return {kept, kept ? "" : fleet_.story(), fleet_.ledger().asked(),
+        std::string leaks;
+        for (std::size_t i = 0; kept && i < sidecars(); ++i)
+            if (fleet_.running(i) && fleet_.until([&] { return fleet_.ready(i); }) &&
+                !fleet_.descriptors_accounted(i))
+                leaks += "n-" + std::to_string(i) + " holds more descriptors than it counts\n";
+        kept = kept && leaks.empty();
+        return {kept, kept ? "" : leaks + fleet_.story(), fleet_.ledger().asked(),
                 fleet_.ledger().count(Ledger::Answer::served)};
     }
     std::size_t servers() const { return fleet_.servers(); }
@@ -205,24 +211,4 @@
     return player.verdict(true);
 }
 
-Schedule shrink(Schedule schedule, const std::function<bool(const Schedule&)>& fails, int rounds) {
-    for (int round = 0; round < rounds; ++round) {
-        const std::size_t before = schedule.size();
-        // Halves, quarters, and so on down to single deeds.
-        for (std::size_t part = std::max<std::size_t>(1, schedule.size() / 2); part > 0; part /= 2)
-            for (std::size_t from = 0; from < schedule.size();) {
-                Schedule less = schedule;
-                const std::size_t to = std::min(schedule.size(), from + part);
-                less.erase(less.begin() + static_cast<std::ptrdiff_t>(from),
-                           less.begin() + static_cast<std::ptrdiff_t>(to));
-                if (!less.empty() && fails(less))
-                    schedule = std::move(less);
-                else
-                    from += part;
-            }
-        if (schedule.size() == before) break;
-    }
-    return schedule;
-}
-
 }  // namespace elmbay::fleet
--- a/src/fleet/campaign.hpp
+++ b/src/fleet/campaign.hpp
@@ -3,11 +3,11 @@
 // test.
 #pragma once
 
-#include <functional>
 #include <string>
 #include <vector>
 
 #include "fleet/fleet.hpp"
+#include "fleet/shrink.hpp"
 
 namespace elmbay::fleet {
 
@@ -50,8 +50,4 @@
 // Starts a fleet, carries the schedule out, heals and thaws everything, waits for every end.
 Verdict play(const Options& options, const Schedule& schedule);
 
-// A smallest schedule that still fails, by leaving deeds out; fails is asked for each. rounds: of a whole
-// pass.
-Schedule shrink(Schedule schedule, const std::function<bool(const Schedule&)>& fails, int rounds = 3);
-
 }  // namespace elmbay::fleet
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -696,6 +696,23 @@
     return json::parse(reading->text, nullptr, false);
 }
 
+bool Fleet::descriptors_accounted(std::size_t i) {
+    constexpr int kLooks = 40;
+    constexpr Millis kBetween = 25;
+    for (int look = 0; look < kLooks; ++look) {
+        const json told = status(i);
+        if (!told.is_object()) return false;
+        const std::filesystem::directory_iterator held("/proc/" + std::to_string(process(i).pid()) + "/fd");
+        const auto count = static_cast<std::size_t>(std::distance(begin(held), end(held)));
+        const json& sockets = told["sockets"];
+        if (count <= sockets["clients"].get<std::size_t>() + sockets["servers"].get<std::size_t>() +
+                         sockets["sessions"].get<std::size_t>() + kOwnDescriptors)
+            return true;
+        quiet_for(kBetween);
+    }
+    return false;
+}
+
 std::string Fleet::ask(std::size_t i, const Ask& a) {
     const std::string id = "r" + std::to_string(++next_id_);
     const Millis patience = a.patience > 0 ? a.patience : options_.patience;
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -94,6 +94,9 @@
     tcp::endpoint listen_of(std::size_t sidecar) const { return sidecars_.at(sidecar).listen; }
     // What it believes, within kWaitWithin; null if nothing listens.
     json status(std::size_t sidecar);
+    // Whether it holds no more descriptors than it counts and kOwnDescriptors; waits a while for it to close.
+    static constexpr std::size_t kOwnDescriptors = 24;  // as many as it reserves for itself, src/sidecar
+    bool descriptors_accounted(std::size_t sidecar);
     // Written for its next start.
     void configure(std::size_t sidecar);
 
--- a/tests/fleet/campaign_test.cpp
+++ b/tests/fleet/campaign_test.cpp
@@ -44,5 +44,24 @@
     EXPECT_TRUE(fails(least));
 }
 
+// One descriptor for each attempt that failed to connect or was reset: what is left over shows at the end.
+TEST(Campaign, ALeakIsFoundBySchedulesOfResets) {
+    Options options = thin();
+    options.program = std::string("env ELMBAY_PLANT=leak ") + ELMBAY_PLANTED;
+    Schedule schedule;
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        schedule.push_back({Deed::Kind::ask, 0, 0, 3});
+        schedule.push_back({Deed::Kind::wait, 0, 0, 30});
+        for (std::size_t server = 0; server < 3; ++server)
+            schedule.push_back({Deed::Kind::reset, 0, server, 0});
+    }
+    const Verdict verdict = play(options, schedule);
+    EXPECT_FALSE(verdict.kept);
+    EXPECT_NE(verdict.story.find("holds more descriptors"), std::string::npos) << verdict.story;
+    options.program = ELMBAY_PROGRAM;
+    const Verdict sound = play(options, schedule);
+    EXPECT_TRUE(sound.kept) << sound.story;
+}
+
 }  // namespace
 }  // namespace elmbay::fleet
--- a/tests/fleet/faults_test.cpp
+++ b/tests/fleet/faults_test.cpp
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 
 #include "scenarios.hpp"
@@ -191,6 +192,54 @@
     ASSERT_TRUE(fleet.settle()) << fleet.story();
 }
 
+// Started under its name with a memory that is older than its last life's: what it says of a server that was
+// failing then does not keep the server out now, and nobody loses an outcome for it.
+TEST(Fleet, AnOlderMemoryUnderTheSameNameShunsNobodyForGood) {
+    namespace fs = std::filesystem;
+    std::string folder = (fs::temp_directory_path() / "memory-XXXXXX").string();
+    ASSERT_NE(::mkdtemp(folder.data()), nullptr);
+    const fs::path now = fs::path(folder) / "now", older = fs::path(folder) / "older";
+    const std::string file = "[state]\nfolder = \"" + now.string() + "\"\nevery = \"100ms\"\n";
+    Fleet fleet(few(1, 2));
+    fleet.start();
+    fleet.kill(0);
+    fleet.restart(0, "", file);
+    ASSERT_TRUE(fleet.until([&] { return fleet.ready(0); })) << fleet.story();
+    const auto removed = [&] {
+        const json status = fleet.status(0);
+        for (const json& s : status["servers"])
+            if (s["uid"] == "s-0") return s.value("removed", false);
+        return false;
+    };
+    // Several at once, so that both servers are in its sight.
+    const auto ask_eight = [&] {
+        for (int i = 0; i < 8; ++i) fleet.ask(0, "listen");
+        return fleet.until([&] { return fleet.ledger().open() == 0; });
+    };
+    fleet.server(1).delay = 5;
+    fleet.server(0).conduct = Conduct::fail;
+    ASSERT_TRUE(fleet.until([&] { return ask_eight() && removed(); })) << fleet.story();
+    fleet.terminate(0);  // writes once more as it ends
+    ASSERT_TRUE(fleet.until([&] { return !fleet.running(0); })) << fleet.story();
+    fs::copy(now, older, fs::copy_options::recursive);
+    // A life in which all is well again, and one that starts from what was before it.
+    fleet.server(0).conduct = Conduct::serve;
+    fleet.restart(0);
+    ASSERT_TRUE(fleet.until([&] { return fleet.ready(0); })) << fleet.story();
+    fleet.kill(0);
+    fs::remove_all(now);
+    fs::copy(older, now, fs::copy_options::recursive);
+    fleet.restart(0);
+    ASSERT_TRUE(fleet.until([&] { return fleet.ready(0); })) << fleet.story();
+    const auto before = fleet.server(0).requests();
+    EXPECT_TRUE(removed()) << "the memory was read";
+    ASSERT_TRUE(fleet.until([&] { return ask_eight() && fleet.server(0).requests() > before + 1; }))
+        << fleet.story();
+    EXPECT_FALSE(removed());
+    ASSERT_TRUE(fleet.settle()) << fleet.story();
+    fs::remove_all(folder);
+}
+
 // A test that is killed leaves no process behind.
 TEST(Fleet, WhatATestStartedEndsWithIt) {
     int ends[2];
