--- a/src/rehearsal/chance.hpp
+++ b/src/rehearsal/chance.hpp
@@ -24,7 +24,9 @@
     patience,
     notice,
     balancer,
-    backoff
+    backoff,
+    messages,
+    storm
 };
 
 // A stream of its own for each seed, purpose and pair of names.
--- a/src/rehearsal/incident.hpp
+++ b/src/rehearsal/incident.hpp
@@ -73,6 +73,19 @@
     Millis remember = 0;
 };
 
+// Messages between sidecars, as PROTOCOL's "Between sidecars" and BRIEF have them: datagrams, late or lost.
+struct MessagesSpec {
+    Millis delay_least = 1.5, delay_most = 14;  // one way, uniform between
+    double loss = 0.01;
+    double price = 0.01;  // points of goodput for bytes delivered / (kMostMessage x first tries)
+    // Beats, in virtual time only: plain messages, so that a file can ask who would hear whom. On sockets
+    // sidecars send what they have to say.
+    Millis beat = 0;  // 0: none
+    std::uint64_t beat_size = 64;
+    std::uint64_t beat_to = 3;                          // others, drawn for each beat; 0: all
+    static constexpr std::uint64_t kMostMessage = 256;  // bytes; PROTOCOL
+};
+
 struct RulesSpec {
     Millis drain_grace = 500;
     double fall_multiple = 2.5;
@@ -113,22 +126,30 @@
 };
 
 enum class FaultKind {
-    die,        // the process ends: connections are reset; it comes back cold
-    vanish,     // the machine says nothing more: connections stay open and silent; back cold
-    freeze,     // stands still for `pause` every `every`
-    fail_fast,  // answers `share` of its requests with 500 at once
-    neighbour,  // another program takes `share` of the machine, on and off
-    hollow,     // accepts connections and requests and answers none
-    drain,      // is told to drain, finishes, and is gone after `linger`; back cold after `lasts`
-    join,       // a server that was off until now starts cold
-    list_late,  // the list falls `delay` further behind
-    load,       // callers ask `times` as often
-    split,      // `groups` don't hear each other
-    one_way,    // nothing of `from` gets to `to`; the other way all does
+    die,            // the process ends: connections are reset; it comes back cold
+    vanish,         // the machine says nothing more: connections stay open and silent; back cold
+    freeze,         // stands still for `pause` every `every`
+    fail_fast,      // answers `share` of its requests with 500 at once
+    neighbour,      // another program takes `share` of the machine, on and off
+    hollow,         // accepts connections and requests and answers none
+    drain,          // is told to drain, finishes, and is gone after `linger`; back cold after `lasts`
+    join,           // a server that was off until now starts cold
+    list_late,      // the list falls `delay` further behind
+    load,           // callers ask `times` as often
+    split,          // `groups` don't hear each other
+    one_way,        // nothing of `from` gets to `to`; the other way all does
+    lossy,          // `share` of the messages from `from` to `to` are lost
+    late_messages,  // they are `delay` later, half of it more or less
     sidecar_kill,
     sidecar_restart,  // SIGTERM, then started again
-    sidecar_reload    // discovery moves and SIGHUP says so
+    sidecar_reload,   // discovery moves and SIGHUP says so
+    pause,            // stands still and wakes with what it believed
+    starve,           // has `share` of its core
+    other_build,      // restarted from `build`, and back after `lasts`
+    other_settings    // restarted with what `set` says, and back after `lasts`
 };
+// Of the sidecars' kinds only.
+constexpr bool hits_sidecars(FaultKind kind) { return kind >= FaultKind::sidecar_kill; }
 
 struct FaultSpec {
     std::uint32_t line = 0;
@@ -144,7 +165,9 @@
     std::string shape = "step";                 // load: step, ramp, doubling, spikes, square
     std::vector<std::string> groups, from, to;  // split, one-way: names, halls (servers and sidecars), "list"
     bool flaps = false;                         // split, one-way: on for `pause` every `every`
-    std::string only;  // load: the class of what is asked beyond the usual; none: the usual mix
+    std::string build;             // other-build: a balancer in virtual time, on sockets a name of `--build`
+    std::vector<std::string> set;  // other-settings: "siblings=30"
+    std::string only;              // load: the class of what is asked beyond the usual; none: the usual mix
 
     std::vector<std::uint32_t> hit;  // numbers of servers or sidecars, in order; filled by the check
     Millis begins(std::size_t nth) const { return at + apart * static_cast<double>(nth); }
@@ -157,6 +180,7 @@
     RegistrySpec registry;
     CallersSpec callers;
     SidecarsSpec sidecars;
+    MessagesSpec messages;
     RulesSpec rules;
     ExpectSpec expect;
     std::vector<ClassSpec> classes;
@@ -166,10 +190,12 @@
         return server % static_cast<std::uint32_t>(fleet.halls.size());
     }
     bool starts_off(std::uint32_t server) const;  // it joins later
-    // What splits and one-way faults do to links between n-I, s-J and "list".
+    // What splits, one-way faults and faults on messages do to links between n-I, s-J and "list".
     std::vector<links::Rule> link_rules() const;
-    // The settings that a decision module gets for this incident.
-    hollybeam::Settings settings(std::uint32_t sidecar) const;
+    // What messages between sidecars meet without any fault.
+    std::vector<links::Rule> message_rules() const;
+    // The settings that a decision module gets for this incident; changed: with a fault's `set` over them.
+    hollybeam::Settings settings(std::uint32_t sidecar, const FaultSpec* changed = nullptr) const;
 };
 
 // A file that can't be used; what() has a line for each problem.
--- a/src/rehearsal/judge.hpp
+++ b/src/rehearsal/judge.hpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -50,6 +51,13 @@
     void sidecar_died(std::uint32_t sidecar);
     // It ended as it was told to: what it had taken and not answered is lost; its next life is told anew.
     void sidecar_ended(std::uint32_t sidecar);
+    // It stands still: it owes no answer in time to what it has and gets until it is thawed. All else holds,
+    // as that nothing goes out for who has gone meanwhile.
+    void sidecar_froze(std::uint32_t sidecar);
+    void sidecar_thawed(std::uint32_t sidecar);
+    // It has part of its core only, in turns: its answers may be late by kStarvedSlack, also in virtual time.
+    static constexpr Millis kStarvedSlack = 50;  // PROTOCOL: what each limit has on sockets
+    void sidecar_starved(std::uint32_t sidecar, bool starved);
 
     // ---- the registry: bytes on their way to a sidecar count as told
     void told(Millis now, std::uint32_t sidecar, std::uint32_t server, hollybeam::Phase phase,
@@ -93,7 +101,8 @@
         Millis deadline = 0, last_over = 0, ended = 0;
         std::uint32_t sidecar = 0;
         bool open = true, excused = false;
-        bool gone = false;  // its caller went away
+        bool gone = false;         // its caller went away
+        bool may_be_late = false;  // its sidecar stood still
         std::vector<Attempt> attempts;
         const Attempt* first_possible_run() const;
     };
@@ -122,6 +131,7 @@
     std::map<std::pair<std::uint32_t, std::uint32_t>, Told> told_;  // by sidecar and server
     std::vector<std::deque<Push>> pushes_;                          // by server, within the span looked at
     std::vector<Suspect> suspects_;
+    std::set<std::uint32_t> frozen_, starved_;
     std::array<Finding, kRules> findings_;
     std::uint64_t attempts_ = 0, held_back_ = 0, fallen_ = 0, most_attempts_ = 0;
 };
--- /dev/null
+++ b/src/rehearsal/messages.cpp
@@ -0,0 +1,65 @@
+#include "rehearsal/messages.hpp"
+
+#include <algorithm>
+
+namespace elmbay::rehearsal {
+
+Beats::Beats(const Incident& incident, std::uint32_t self, std::uint64_t seed)
+    : incident_(incident), self_(self), random_(seed) {}
+
+void Beats::begin(Millis now, std::vector<Outgoing>&) {
+    // The first within one round, so that sidecars that start together don't speak together.
+    if (incident_.messages.beat > 0) next_ = now + incident_.messages.beat * random_.unit();
+}
+
+void Beats::wake(Millis now, std::vector<Outgoing>& out) {
+    next_ = now + incident_.messages.beat;
+    const std::string bytes(incident_.messages.beat_size, 'b');
+    const std::uint64_t others = incident_.sidecars.count - 1;
+    if (incident_.messages.beat_to == 0 || incident_.messages.beat_to >= others) {
+        out.push_back({{}, bytes});
+        return;
+    }
+    std::vector<std::uint32_t> drawn;
+    while (drawn.size() < incident_.messages.beat_to) {
+        const auto to = static_cast<std::uint32_t>(random_.below(incident_.sidecars.count));
+        if (to != self_ && std::find(drawn.begin(), drawn.end(), to) == drawn.end()) drawn.push_back(to);
+    }
+    for (const std::uint32_t to : drawn) out.push_back({to, bytes});
+}
+
+MessageNet::MessageNet(const Incident& incident)
+    : sidecars_(static_cast<std::uint32_t>(incident.sidecars.count)), rules_(incident.overview.seed) {
+    std::vector<links::Rule> rules = incident.message_rules();
+    for (links::Rule& rule : incident.link_rules()) {
+        cuts_ = cuts_ || rule.act == links::Act::cut;
+        rules.push_back(std::move(rule));
+    }
+    rules_.replace_all(std::move(rules));
+    for (std::uint32_t i = 0; i < sidecars_; ++i) names_.push_back("n-" + std::to_string(i));
+}
+
+bool MessageNet::cut(Millis now, std::uint32_t from, std::uint32_t to) const {
+    return cuts_ && rules_.cut({names_[from], names_[to]}, links::Medium::datagram, now);
+}
+
+void MessageNet::send(Millis now, std::uint32_t from, const Outgoing& message,
+                      std::vector<Delivery>& deliveries) {
+    if (message.to) {
+        if (*message.to < sidecars_ && *message.to != from)
+            one(now, from, *message.to, message.bytes, deliveries);
+        return;
+    }
+    for (std::uint32_t to = 0; to < sidecars_; ++to)
+        if (to != from) one(now, from, to, message.bytes, deliveries);
+}
+
+void MessageNet::one(Millis now, std::uint32_t from, std::uint32_t to, const std::string& bytes,
+                     std::vector<Delivery>& deliveries) {
+    const std::uint64_t nth = ++numbers_[(std::uint64_t{from} << 32) | to];
+    for (const links::Rules::Delivery& d :
+         rules_.datagram({names_[from], names_[to]}, nth, bytes.size(), now))
+        deliveries.push_back({to, d.after, bytes});
+}
+
+}  // namespace elmbay::rehearsal
--- /dev/null
+++ b/src/rehearsal/messages.hpp
@@ -0,0 +1,76 @@
+// Messages between sidecars in virtual time: PROTOCOL's "Between sidecars" with the delays, losses and faults
+// of the incident. What speaks and listens beside a decision module is a Companion.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "rehearsal/chance.hpp"
+#include "rehearsal/incident.hpp"
+
+namespace elmbay::rehearsal {
+
+struct Outgoing {
+    std::optional<std::uint32_t> to;  // a sidecar; nothing: every other one
+    std::string bytes;
+};
+
+// One life of it: a restart makes another. No I/O and no clock; `now` never goes back.
+class Companion {
+public:
+    virtual ~Companion() = default;
+    virtual void begin(Millis now, std::vector<Outgoing>& out) = 0;
+    virtual void heard(Millis now, std::uint32_t from, std::string_view bytes,
+                       std::vector<Outgoing>& out) = 0;
+    // At next() or later.
+    virtual void wake(Millis now, std::vector<Outgoing>& out) = 0;
+    virtual Millis next() const = 0;  // links::kNever: nothing to do until something is heard
+};
+
+// Says that it is there, to some others drawn each time, and listens to nothing.
+class Beats : public Companion {
+public:
+    Beats(const Incident& incident, std::uint32_t self, std::uint64_t seed);
+    void begin(Millis now, std::vector<Outgoing>& out) override;
+    void heard(Millis, std::uint32_t, std::string_view, std::vector<Outgoing>&) override {}
+    void wake(Millis now, std::vector<Outgoing>& out) override;
+    Millis next() const override { return next_; }
+
+private:
+    const Incident& incident_;
+    const std::uint32_t self_;
+    Random random_;
+    Millis next_ = links::kNever;
+};
+
+// What each message meets on its way. Chance is keyed by the ends and the number of the message on its link.
+class MessageNet {
+public:
+    explicit MessageNet(const Incident& incident);
+
+    struct Delivery {
+        std::uint32_t to = 0;
+        Millis after = 0;
+        std::string bytes;
+    };
+    // What becomes of one message; it is not delivered if the link is cut() when it is to come.
+    void send(Millis now, std::uint32_t from, const Outgoing& message, std::vector<Delivery>& deliveries);
+    bool cut(Millis now, std::uint32_t from, std::uint32_t to) const;
+
+private:
+    void one(Millis now, std::uint32_t from, std::uint32_t to, const std::string& bytes,
+             std::vector<Delivery>& deliveries);
+
+    const std::uint32_t sidecars_;
+    links::Rules rules_;
+    bool cuts_ = false;  // whether any rule ever cuts
+    std::vector<std::string> names_;
+    std::unordered_map<std::uint64_t, std::uint64_t> numbers_;  // messages of a link so far
+};
+
+}  // namespace elmbay::rehearsal
--- a/src/rehearsal/page.cpp
+++ b/src/rehearsal/page.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 #include "rehearsal/report.hpp"
 
@@ -163,6 +164,94 @@
     return svg(height, t);
 }
 
+// A row a sidecar that had more than one life, or was kept from its core; grey: it ran.
+std::string sidecar_rows(const Report& r, const Axis& axis) {
+    const SidecarsReport& side = r.side;
+    std::vector<std::uint32_t> rows;
+    std::map<std::uint32_t, std::size_t> lives;
+    for (const SidecarSpan& s : side.lives)
+        if (++lives[s.sidecar] == 2) rows.push_back(s.sidecar);
+    for (const SidecarSpan& s : side.troubles) rows.push_back(s.sidecar);
+    std::sort(rows.begin(), rows.end());
+    rows.erase(std::unique(rows.begin(), rows.end()), rows.end());
+    const std::size_t all = rows.size();
+    if (all == 0) return "";
+    if (rows.size() > kMostRows) rows.resize(kMostRows);
+    const double height = 14.0 * static_cast<double>(rows.size());
+    std::string t =
+        frame(axis, height,
+              fmt::format("Sidecars that did not run through ({} of {}; grey: running, {}: paused or "
+                          "starved, gap: none there)",
+                          rows.size(), all, "orange"));
+    const auto bars = [&](const std::vector<SidecarSpan>& spans, const char* colour, double inset) {
+        for (const SidecarSpan& s : spans) {
+            const auto row = std::lower_bound(rows.begin(), rows.end(), s.sidecar);
+            if (row == rows.end() || *row != s.sidecar) continue;
+            const double y = kTop + 14.0 * static_cast<double>(row - rows.begin());
+            const double from = axis.x(s.from / 1000), to = std::max(from + 2, axis.x(s.to / 1000));
+            t += fmt::format(
+                "<rect x='{:.1f}' y='{:.1f}' width='{:.1f}' height='{:.1f}' fill='{}'><title>n-{} {}: "
+                "{:.1f}s to "
+                "{:.1f}s</title></rect>",
+                from, y + 1 + inset, to - from, 12 - 2 * inset, colour, s.sidecar, escaped(s.what),
+                s.from / 1000, s.to / 1000);
+        }
+    };
+    bars(side.lives, "#adb5bd", 0);
+    bars(side.troubles, "#e8590c", 3);
+    for (std::size_t i = 0; i < rows.size(); ++i)
+        t += fmt::format("<text x='{}' y='{:.1f}' class='tick' text-anchor='end'>n-{}</text>", kLeft - 6,
+                         kTop + 14.0 * static_cast<double>(i) + 11, rows[i]);
+    return svg(height, t);
+}
+
+std::string cut_rows(const SidecarsReport& side) {
+    if (side.cuts.empty()) return "";
+    std::string t = "<table><tr><th>On links</th><th>from</th><th>to</th></tr>";
+    for (const CutReport& c : side.cuts)
+        t += fmt::format("<tr><td>{}: {}</td><td>{:.1f}s</td><td>{:.1f}s</td></tr>", escaped(c.name),
+                         escaped(c.what), c.from / 1000, c.to / 1000);
+    return t + "</table>";
+}
+
+std::string message_plots(const Report& r, const Axis& axis) {
+    const SidecarsReport& side = r.side;
+    if (side.sent == 0) return "";
+    std::vector<double> sent, delivered, bytes;
+    double most = 1, most_bytes = 1;
+    for (const MessageSecond& s : side.seconds) {
+        sent.push_back(static_cast<double>(s.sent)), delivered.push_back(static_cast<double>(s.delivered));
+        bytes.push_back(static_cast<double>(s.bytes));
+        most = std::max({most, sent.back(), delivered.back()}),
+        most_bytes = std::max(most_bytes, bytes.back());
+    }
+    std::string t = plot(r, axis, "Messages between sidecars", round_top(most), "/s",
+                         {{"sent", "#495057", sent}, {"delivered", "#2b8a3e", delivered}});
+    t += plot(r, axis, "Bytes of messages delivered", round_top(most_bytes), "",
+              {{"bytes", "#1864ab", bytes}});
+    if (side.heard.empty()) return t;
+    // Who heard whom: rows hear, columns speak.
+    std::uint64_t top = 1;
+    for (const auto& row : side.heard)
+        for (const std::uint64_t n : row) top = std::max(top, n);
+    const double cell = std::min(14.0, 480.0 / static_cast<double>(side.heard.size()));
+    const double height = cell * static_cast<double>(side.heard.size());
+    std::string m = fmt::format(
+        "<text x='{}' y='14' class='title'>Who heard whom: rows hear, columns speak</text>", kLeft);
+    for (std::size_t from = 0; from < side.heard.size(); ++from)
+        for (std::size_t to = 0; to < side.heard.size(); ++to)
+            if (side.heard[from][to] > 0)
+                m += fmt::format(
+                    "<rect x='{:.1f}' y='{:.1f}' width='{:.1f}' height='{:.1f}' fill='#1864ab' "
+                    "opacity='{:.2f}'>"
+                    "<title>n-{} heard n-{} {} times</title></rect>",
+                    kLeft + cell * static_cast<double>(from), kTop + cell * static_cast<double>(to),
+                    cell - 0.5, cell - 0.5,
+                    0.15 + 0.85 * static_cast<double>(side.heard[from][to]) / static_cast<double>(top), to,
+                    from, side.heard[from][to]);
+    return t + svg(height, m);
+}
+
 std::string verdict_rows(const Report& r) {
     std::string t = "<table><tr><th>Rule</th><th>Verdict</th><th></th></tr>";
     for (const RuleReport& rule : r.rules) {
@@ -240,6 +329,7 @@
     page += plot(r, axis, "Requests asked", round_top(most_asked), "/s", {{"asked", "#495057", asked}});
     page += plot(r, axis, "Latency of what was served, from the first try on", round_top(most_p99), "ms",
                  {{"p99", "#d9480f", p99}, {"p50", "#1864ab", p50}});
+    page += sidecar_rows(r, axis) + cut_rows(r.side) + message_plots(r, axis);
     page += work_rows(r, axis) + class_rows(r);
     for (const std::string& note : r.notes) page += "<p>" + escaped(note) + "</p>";
     return page + "</body></html>\n";
--- a/src/rehearsal/real/real_run.hpp
+++ b/src/rehearsal/real/real_run.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <string>
 
 #include "rehearsal/report.hpp"
@@ -10,13 +11,15 @@
 namespace elmbay::rehearsal {
 
 struct RealOptions {
-    std::string sidecar;  // the command that starts one
-    std::string folder;   // for configurations and logs; empty: a temporary one, removed at the end
-    std::string log;      // every step and ask, a line each; empty: none
+    std::string sidecar;                        // the command that starts one
+    std::map<std::string, std::string> builds;  // of faults other-build: the command of each name
+    std::string folder;  // for configurations and logs; empty: a temporary one, removed at the end
+    std::string log;     // every step and ask, a line each; empty: none
     std::function<void(double)> progress{};
 };
 
-// Throws std::runtime_error if the sidecars don't come up, with the end of what one of them said.
+// Throws std::invalid_argument for a fault's build that builds does not name, std::runtime_error if the
+// sidecars don't come up, with the end of what one of them said.
 Report run_real(const Incident& incident, const RealOptions& options);
 
 }  // namespace elmbay::rehearsal
--- a/src/rehearsal/real/stand_in_server.cpp
+++ b/src/rehearsal/real/stand_in_server.cpp
@@ -253,6 +253,8 @@
         } else if (d.fate == Fate::failed) {
             connection->respond("500 Internal Server Error", "", "failed\n");
         } else if (d.fate == Fate::turned_away) {
+            // A machine that stood still turns away once it goes on again: unseen, as those at once.
+            judge_.reached(stage_.now(), connection->id, connection->judged, Judge::Reached::turned_away);
             connection->respond("503 Service Unavailable", "X-Unprocessed: 1\r\n", "");
         }
     }
--- a/src/rehearsal/report.hpp
+++ b/src/rehearsal/report.hpp
@@ -8,6 +8,7 @@
 
 #include "rehearsal/judge.hpp"
 #include "rehearsal/service.hpp"
+#include "rehearsal/sidecar_log.hpp"
 
 namespace elmbay::rehearsal {
 
@@ -55,6 +56,7 @@
     std::vector<ExpectationReport> expectations;
     Service::Report service;
     Punctuality punctuality;
+    SidecarsReport side;
     std::vector<FaultBand> faults;
     std::vector<std::string> steps;  // the scripted events in their order
     std::vector<std::string> notes;  // what else the driver saw: a sidecar that ended, say
--- /dev/null
+++ b/src/rehearsal/storm.cpp
@@ -0,0 +1,101 @@
+#include "rehearsal/storm.hpp"
+
+#include <fmt/format.h>
+
+#include "fleet/shrink.hpp"
+#include "rehearsal/chance.hpp"
+
+namespace elmbay::rehearsal {
+
+namespace {
+
+// What happens to sidecars and between them is what this is for: half of the draws.
+constexpr const char* kOfServers[] = {"die",    "vanish", "freeze", "fail-fast", "neighbour",
+                                      "hollow", "drain",  "load",   "list-late"};
+constexpr const char* kOfSidecars[] = {"split",          "one-way", "lossy",  "late-messages",
+                                       "sidecar-kill",   "pause",   "starve", "sidecar-restart",
+                                       "other-settings", "pause",   "split",  "sidecar-kill"};
+constexpr int kTries = 8;  // at a fault that does not clash with those before it
+
+std::string name(const char* prefix, Random& random, std::uint64_t count) {
+    return fmt::format("{}{}", prefix, random.below(count));
+}
+std::string any_end(Random& random, const StormOptions& o) {
+    return random.below(3) == 0 ? name("s-", random, o.servers) : name("n-", random, o.sidecars);
+}
+// Whole tenths of a second read well, and are the same on every machine.
+std::string span(Random& random, std::uint64_t least, std::uint64_t most) {
+    return fmt::format("\"{}ms\"", 100 * (least + random.below(most - least + 1)));
+}
+
+std::string draw_fault(Random& random, const StormOptions& o) {
+    const bool of_sidecars = random.below(2) == 0;
+    const std::string kind = of_sidecars ? kOfSidecars[random.below(std::size(kOfSidecars))]
+                                         : kOfServers[random.below(std::size(kOfServers))];
+    const auto tenths = static_cast<std::uint64_t>(o.length / 100);
+    std::string t = fmt::format("[[fault]]\nkind = \"{}\"\nat = {}\n", kind, span(random, 5, tenths - 30));
+    if (kind != "sidecar-restart") t += fmt::format("lasts = {}\n", span(random, 2, 40));
+    if (kind == "split") {
+        std::string halves[2] = {"", "list"};
+        for (std::uint64_t i = 0; i < o.sidecars; ++i) halves[random.below(2)] += fmt::format(" n-{}", i);
+        for (std::uint64_t i = 0; i < o.servers; ++i) halves[random.below(2)] += fmt::format(" s-{}", i);
+        t += fmt::format("groups = [\"{}\", \"{}\"]\n", halves[0], halves[1]);
+    } else if (kind == "one-way" || kind == "lossy" || kind == "late-messages") {
+        t += fmt::format("from = [\"{}\"]\nto = [\"{}\"]\n", any_end(random, o), any_end(random, o));
+    } else if (kind != "load" && kind != "list-late") {
+        t += fmt::format("who = \"{}\"\n",
+                         of_sidecars ? name("n-", random, o.sidecars) : name("s-", random, o.servers));
+    }
+    if (kind == "starve" || kind == "fail-fast" || kind == "neighbour" || kind == "lossy")
+        t += fmt::format("share = {:.1f}\n", 0.1 * static_cast<double>(1 + random.below(9)));
+    if (kind == "load") t += fmt::format("times = {}\n", 2 + random.below(4));
+    if (kind == "other-settings") t += fmt::format("set = [\"siblings={}\"]\n", 1 + random.below(8));
+    if (kind == "late-messages" || kind == "list-late") t += fmt::format("delay = {}\n", span(random, 1, 20));
+    return t;
+}
+
+bool sound(const std::string& text) {
+    try {
+        parse_incident(text, "storm");
+        return true;
+    } catch (const IncidentError&) {
+        return false;
+    }
+}
+
+}  // namespace
+
+std::string Storm::text() const {
+    std::string t = head;
+    for (const std::string& fault : faults) t += "\n" + fault;
+    return t;
+}
+
+Storm draw_storm(std::uint64_t seed, const StormOptions& o) {
+    Random random = stream(seed, Purpose::storm);
+    Storm storm;
+    // Beats, so that faults on messages meet some.
+    storm.head = fmt::format(
+        "about = \"storm {0}\"\nseed = {0}\nlength = \"{1}ms\"\n[fleet]\nservers = {2}\n[sidecars]\n"
+        "count = {3}\n[callers]\nrate = {4}\n[messages]\nbeat = \"500ms\"\n",
+        seed, o.length, o.servers, o.sidecars, o.rate);
+    while (storm.faults.size() < o.faults) {
+        bool found = false;
+        for (int i = 0; i < kTries && !found; ++i) {
+            storm.faults.push_back(draw_fault(random, o));
+            found = sound(storm.text());
+            if (!found) storm.faults.pop_back();
+        }
+        if (!found) break;  // as full as it gets
+    }
+    return storm;
+}
+
+Storm shrunk(Storm storm, const std::function<bool(const Storm&)>& fails) {
+    storm.faults = fleet::shrink(storm.faults, [&](const std::vector<std::string>& faults) {
+        return fails({storm.head, faults});
+    });
+    return storm;
+}
+
+}  // namespace elmbay::rehearsal
--- a/src/rehearsal/timeline.hpp
+++ b/src/rehearsal/timeline.hpp
@@ -21,7 +21,12 @@
     sidecar_kill,
     sidecar_start,
     sidecar_restart,
-    sidecar_reload
+    sidecar_reload,
+    sidecar_pause,
+    sidecar_wake,
+    sidecar_starve,  // `value` of its core from now on; 1: all
+    sidecar_change,  // restarted with the build or settings of fault number `value`
+    sidecar_back     // restarted as it was
 };
 const char* name_of(Change change);
 
--- a/tests/rehearsal/real_test.cpp
+++ b/tests/rehearsal/real_test.cpp
@@ -159,6 +159,38 @@
     }
 }
 
+// On sockets: half of the sidecars come back together while a server is cold, one stands still while a server
+// drains, one has little of its core, one runs another build and one other settings. The judge of cold starts
+// and of drains holds all of it against the rules.
+TEST(Real, SidecarsFailWhileServersDo) {
+    const std::string text =
+        std::string(kShort).substr(0, std::string(kShort).find("[[fault]]")) +
+        "[[fault]]\nkind = \"die\"\nat = \"500ms\"\nlasts = \"700ms\"\nwho = \"s-0\"\n"
+        "[[fault]]\nkind = \"sidecar-kill\"\nat = \"1200ms\"\nlasts = \"300ms\"\nwho = [\"n-0\", \"n-1\"]\n"
+        "[[fault]]\nkind = \"pause\"\nat = \"1800ms\"\nlasts = \"1s\"\nwho = \"n-2\"\n"
+        "[[fault]]\nkind = \"drain\"\nat = \"1700ms\"\nlinger = \"1s\"\nwho = \"s-2\"\n"
+        "[[fault]]\nkind = \"starve\"\nat = \"1s\"\nlasts = \"2s\"\nshare = 0.4\nwho = \"n-3\"\n"
+        "[[fault]]\nkind = \"other-build\"\nat = \"2s\"\nwho = \"n-1\"\nbuild = \"other\"\n"
+        "[[fault]]\nkind = \"other-settings\"\nat = \"2s\"\nwho = \"n-0\"\nset = \"siblings=9\"\n";
+    const std::string with_four = std::string(text).replace(text.find("count = 2"), 9, "count = 4");
+    const Incident incident = parse_incident(with_four, "f.toml");
+    RealOptions options;
+    options.sidecar = ELMBAY_PROGRAM;
+    EXPECT_THROW(run_real(incident, options), std::invalid_argument) << "the build has no command";
+    options.builds["other"] = std::string("env RELAY_OTHER=1 ") + ELMBAY_PROGRAM;
+    const Report report = run_real(incident, options);
+    EXPECT_TRUE(report.notes.empty()) << text_of(report);
+    EXPECT_GT(served(report), report.requests / 2) << text_of(report);
+    if (report.punctuality.trusted()) {
+        EXPECT_TRUE(report.rules_kept()) << text_of(report);
+    }
+    EXPECT_EQ(report.side.troubles.size(), 2U);
+    std::size_t other = 0;
+    for (const SidecarSpan& s : report.side.lives)
+        other += s.what == "other" || s.what == "elmbay (other-settings)";
+    EXPECT_EQ(other, 2U);
+}
+
 TEST(Real, ASidecarThatDoesNotComeUpIsToldWithWhatItSaid) {
     const Incident incident = parse_incident("length = \"1s\"\n", "f.toml");
     RealOptions options;
