--- a/src/links/stream_link.cpp
+++ b/src/links/stream_link.cpp
@@ -33,6 +33,7 @@
         deliver(forth_);
         if (link_) deliver(back_);
     }
+    std::size_t held() const { return forth_.kept() + back_.kept(); }
     void close(bool reset) {
         if (!link_) return;
         for (Way* way : {&forth_, &back_}) {
@@ -245,6 +246,12 @@
     for (const auto& pair : std::set(pairs_)) pair->close(true);
 }
 
+std::size_t StreamLink::held() const {
+    std::size_t bytes = 0;
+    for (const auto& pair : pairs_) bytes += pair->held();
+    return bytes;
+}
+
 void StreamLink::target(Target state) {
     behind_ = state;
     refused_ = false;
--- a/src/links/stream_link.hpp
+++ b/src/links/stream_link.hpp
@@ -59,6 +59,7 @@
     std::size_t open() const { return pairs_.size(); }
     std::uint64_t bytes_forth() const { return forth_; }
     std::uint64_t bytes_back() const { return back_; }
+    std::size_t held() const;  // bytes of both directions that have come and not been passed on
 
 private:
     class Pair;
--- a/tests/links/stream_test.cpp
+++ b/tests/links/stream_test.cpp
@@ -18,7 +18,7 @@
     void read() {
         socket.async_read_some(asio::buffer(piece), [self = shared_from_this()](Error e, std::size_t n) {
             self->got.append(self->piece.data(), n);
-            if (!e) return self->read();
+            if (!e) return self->reads ? self->read() : void();
             self->ended = true;
             self->reset = e == asio::error::connection_reset;
         });
@@ -27,7 +27,7 @@
     tcp::socket socket;
     std::array<char, 4096> piece{};
     std::string got;
-    bool ended = false, reset = false, up = false, refused = false;
+    bool reads = true, ended = false, reset = false, up = false, refused = false;
 };
 
 struct Rig {
@@ -115,11 +115,24 @@
     asio::async_write(a->socket, asio::buffer(much),
                       [&](Error, std::size_t) { a->socket.shutdown(tcp::socket::shutdown_send); });
     ASSERT_TRUE(rig.until([&] { return b->got.size() > 4'000'000; }));
+    // Nobody reads until all buffers are full, the link's pipe among them; what it holds then waits for the
+    // cut.
+    b->reads = false;
+    const auto full = [&, before = std::uint64_t{0}]() mutable {
+        rig.quiet();
+        return std::exchange(before, rig.link.bytes_forth()) == rig.link.bytes_forth();
+    };
+    ASSERT_TRUE(rig.until(full));
     rig.put("cut", Act::cut, "a", "b");
+    const std::size_t passed_on = rig.link.bytes_forth() - rig.link.held();
+    EXPECT_GT(rig.link.held(), 0U);
+    b->reads = true;
+    b->read();
     rig.quiet();
     const std::size_t held = b->got.size();
     rig.quiet();
     EXPECT_EQ(b->got.size(), held);
+    EXPECT_EQ(held, passed_on);
     EXPECT_FALSE(b->ended);
     rig.ground.take_away("cut");
     ASSERT_TRUE(rig.until([&] { return b->got.size() > held + 4'000'000; }));
