--- a/src/policy/admission.hpp
+++ b/src/policy/admission.hpp
@@ -16,8 +16,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/fading.hpp"
 #include "hollybeam/knowledge.hpp"
-#include "policy/fading.hpp"
 
 namespace hollybeam {
 
--- a/src/policy/fairness.hpp
+++ b/src/policy/fairness.hpp
@@ -6,7 +6,7 @@
 #include <optional>
 #include <vector>
 
-#include "policy/fading.hpp"
+#include "base/fading.hpp"
 
 namespace hollybeam {
 
--- a/src/policy/server.hpp
+++ b/src/policy/server.hpp
@@ -4,8 +4,8 @@
 #include <bit>
 #include <cstdint>
 
+#include "base/fading.hpp"
 #include "hollybeam/balancer.hpp"
-#include "policy/fading.hpp"
 
 namespace hollybeam {
 
