--- a/src/rehearsal/sidecar_log.cpp
+++ b/src/rehearsal/sidecar_log.cpp
@@ -18,7 +18,7 @@
             ends += (ends.empty() ? "" : " | ") + fmt::format("{}", fmt::join(group, " "));
     }
     constexpr std::size_t kMostShown = 120;  // a split of hundreds would fill a page
-    if (ends.size() > kMostShown) ends = ends.substr(0, kMostShown) + "...";
+    if (ends.size() > kMostShown) ends.replace(kMostShown, std::string::npos, "...");
     return std::string(links::name_of(rule.act)) + " " + ends;
 }
 
