Tests that fail without the look at the clock, and without the number of siblings

Seen: of eight breaks tried on the membership seven were found; without look_at_clock() all tests passed, as the virtual fleet let a woken member read its socket before its timers, and freezes were longer than any answer. And no test saw that the module follows SiblingsKnown at all. Change: a woken member's timers come first; a fleet that wakes for 5 ms in each 2 s must suspect nobody; a balancer's sight must widen and narrow with the number. Measured: 512 suspicions without the look at the clock, 0 with it; with set_siblings() taken out of the event the new test of the module fails.

--- a/tests/cluster/members_test.cpp
+++ b/tests/cluster/members_test.cpp
@@ -138,6 +138,17 @@
         fleet.run_for(300);
     }
     EXPECT_EQ(fleet.failures(), 0U);
+    // Awake for so little that the answers come while all sleep again.
+    for (int round = 0; round < 50; ++round) {
+        for (Number n = 0; n < 12; ++n) fleet.freeze(n);
+        fleet.run_for(2000);
+        for (Number n = 0; n < 12; ++n) fleet.thaw(n);
+        fleet.run_for(5);
+    }
+    EXPECT_EQ(fleet.failures(), 0U);
+    std::uint64_t suspicions = 0;
+    for (Number n = 0; n < 12; ++n) suspicions += fleet[n].counts().suspicions;
+    EXPECT_EQ(suspicions, 0U) << "whoever slept looked at its clock before it blamed others";
     EXPECT_TRUE(fleet.settled());
 }
 
--- a/tests/cluster/virtual_fleet.hpp
+++ b/tests/cluster/virtual_fleet.hpp
@@ -65,9 +65,10 @@
         Node& node = nodes_[n];
         node.frozen = false;
         if (!node.members) return;
+        // Its timers may be seen before its socket: what lies unread has not been heard then.
+        if (node.members->next() <= now_) node.members->wake(now_);
         for (const auto& [from, bytes] : std::exchange(node.unread, {}))
             node.members->heard(now_, from, bytes);
-        if (node.members->next() <= now_) node.members->wake(now_);
         settle(n);
     }
     // Into its socket, as if from there.
--- a/tests/policy/balancer_test.cpp
+++ b/tests/policy/balancer_test.cpp
@@ -468,5 +468,30 @@
     EXPECT_EQ(rig.removals(), 1);
 }
 
+// The number of sidecars may become another one: fewer keep more servers in sight, and 0 says nothing.
+TEST(Siblings, AreWhatTheSightOfServersFollows) {
+    Settings settings = make_settings();
+    settings.siblings = 1000;
+    Rig rig(settings);
+    rig.list(ListKind::full, make_servers(60));
+    const auto in_sight = [&] {
+        std::set<ServerId> asked;
+        for (int i = 0; i < 200; ++i) {
+            const RequestId id = rig.request();
+            asked.insert(rig.where(id));
+            rig.end(id, Outcome::completed);
+            rig.pass(450);  // two requests a second: traffic alone widens nothing
+        }
+        return asked.size();
+    };
+    EXPECT_LE(in_sight(), 6U);
+    rig.give(SiblingsKnown{2});
+    EXPECT_GT(in_sight(), 40U);
+    rig.give(SiblingsKnown{0});
+    EXPECT_GT(in_sight(), 40U);
+    rig.give(SiblingsKnown{1000});
+    EXPECT_LE(in_sight(), 6U);
+}
+
 }  // namespace
 }  // namespace hollybeam::test
