A keyed repeat is written while the first is remembered, or not at all

Followed by id with a trace of each write and end: the first attempt written at 6.404 s, errored at 6.833; the third decided at 7.322, inside the window of a second, its connection up and the request written at 7.461, outside it. Ruled out: groups (each repeat stayed in its zone or cell), a second copy from the client (keys and ids differ), the write itself (none waited).

Wrong lines: Request::may_go_to looked at the window when the attempt was decided; Upstream::start and write() then had up to a connection's patience in between and knew no window. Now Send carries write_by, the decision's own limit for the last byte, and Upstream keeps it: while a connection is waited for, before the write, and while the write is under way, where only the write's own result says whether it may have run. What may not go again is answered at once instead of held for a sixteenth of its aim, and a refusal is given only while the client's next try would still be inside the window.

--- a/include/hollybeam/balancer.hpp
+++ b/include/hollybeam/balancer.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -158,6 +159,9 @@
     RequestId id = 0;
     ServerId server = 0;
     Millis try_until = 0;  // the caller ends the attempt as overdue at this time
+    // Its last byte leaves before this time, or the attempt ends as superseded: by then the servers may have
+    // forgotten the one that it repeats.
+    Millis write_by = std::numeric_limits<Millis>::infinity();
 };
 struct Cancel {
     RequestId id = 0;
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -71,10 +71,10 @@
                               const auto at = requests_.find(a.id);
                               if (at == requests_.end()) return;
                               ++at->second.out;
-                              port_.start({a.id, at->second.sent++}, a.server, a.try_until);
+                              port_.start({a.id, at->second.sent++}, a.server, a.try_until, a.write_by);
                               if (planted("twice")) {
                                   ++at->second.out;
-                                  port_.start({a.id, at->second.sent++}, a.server, a.try_until);
+                                  port_.start({a.id, at->second.sent++}, a.server, a.try_until, a.write_by);
                               }
                           },
                           [this](const Cancel& a) {
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -51,9 +51,9 @@
 class Port {
 public:
     virtual ~Port() = default;
-    // Begins an attempt, to end as overdue at `until` at the latest. Its end is told by attempt_ended(),
-    // never from within this call.
-    virtual void start(AttemptKey key, ServerId server, Millis until) = 0;
+    // Begins an attempt, to end as overdue at `until` at the latest, and as superseded if it has not been
+    // written whole before `write_by`. Its end is told by attempt_ended(), never from within this call.
+    virtual void start(AttemptKey key, ServerId server, Millis until, Millis write_by) = 0;
     // Withdraws one that is out; it ends as recalled, or as what it was about to end as.
     virtual void cancel(AttemptKey key) = 0;
     // The request's one final outcome. Not called for one whose caller has gone.
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -32,7 +32,7 @@
 struct Upstream::Attempt {
     AttemptKey key;
     ServerId server = 0;
-    Millis started = 0, until = 0;
+    Millis started = 0, until = 0, write_by = 0;
     std::shared_ptr<const HttpRequest> request;
     std::shared_ptr<Connection> connection;  // none while it waits for one
     TimerQueue::Key timer{};
@@ -110,6 +110,14 @@
         });
     }
 
+    bool writing() const { return writing_; }
+    // For a request whose time to be written is over. Closes; whether its last byte had gone out all the
+    // same, the write's own result tells, which comes at once.
+    void stop_writing() {
+        unwritten_ = Outcome::superseded;
+        break_off();
+    }
+
     // No handler says anything of this connection any more.
     void close() {
         if (closed_) return;
@@ -170,6 +178,10 @@
         if (!writing_) return finish({});
         // Broken, or answered, before the write's end is known here. Whether the last byte went out decides
         // if the attempt may have run: only the write's own result tells. Closing brings it at once.
+        break_off();
+    }
+
+    void break_off() {
         closed_ = broken_ = true;
         Error ignored;
         socket_.close(ignored);
@@ -185,7 +197,7 @@
         Attempt& attempt = *at->second;
         const auto state = answer_->state();
         // Broken before the last byte was written: it never ran. After that it may have.
-        Outcome outcome = written_ && !planted("resend") ? Outcome::severed : Outcome::refused_connection;
+        Outcome outcome = written_ && !planted("resend") ? Outcome::severed : unwritten_;
         bool reusable = false;
         HttpResponse response;
         if (state == AnswerReader::State::whole) {
@@ -218,11 +230,12 @@
     std::optional<http::request<http::span_body<const char>>> request_;
     TimerQueue::Key timer_{};
     bool busy_ = false, writing_ = false, closed_ = false;
-    bool waiting_ = false;  // to be readable
-    bool read_ = false;     // an answer, or that none will come
-    bool ended_ = false;    // nothing more comes
-    bool written_ = false;  // the request's last byte has been
-    bool broken_ = false;   // closed, and the write's result is awaited
+    bool waiting_ = false;                             // to be readable
+    bool read_ = false;                                // an answer, or that none will come
+    bool ended_ = false;                               // nothing more comes
+    bool written_ = false;                             // the request's last byte has been
+    bool broken_ = false;                              // closed, and the write's result is awaited
+    Outcome unwritten_ = Outcome::refused_connection;  // of a request whose last byte did not go out
 };
 
 Upstream::Upstream(asio::io_context& io, SocketBudget& budget, TimerQueue& timers, const Clock& clock,
@@ -274,15 +287,18 @@
     return count;
 }
 
-void Upstream::start(AttemptKey key, ServerId to, Millis until, std::shared_ptr<const HttpRequest> request) {
+void Upstream::start(AttemptKey key, ServerId to, Millis until, Millis write_by,
+                     std::shared_ptr<const HttpRequest> request) {
     auto attempt = std::make_unique<Attempt>();
     attempt->key = key;
     attempt->server = to;
     attempt->started = clock_.now();
     attempt->until = until;
+    attempt->write_by = write_by;
     attempt->request = std::move(request);
     const Millis patience = std::min(limits_.connect_timeout, (until - attempt->started) * kConnectShare);
-    attempt->timer = timers_.set(attempt->started + patience, [this, key] { expired(key); });
+    attempt->timer =
+        timers_.set(std::min(attempt->started + patience, write_by), [this, key] { expired(key); });
     attempts_[key] = std::move(attempt);
     Server& server = servers_.at(to);
     ++server.attempts;
@@ -309,7 +325,7 @@
             continue;
         }
         server.waiting.pop_front();
-        if (gate_.caller_gone(attempt.key.request)) {
+        if (clock_.now() >= attempt.write_by || gate_.caller_gone(attempt.key.request)) {
             server.idle.push_back(connection);
             end(attempt, Outcome::superseded);
             continue;
@@ -352,7 +368,8 @@
 void Upstream::write(Attempt& attempt, const std::shared_ptr<Connection>& connection) {
     attempt.connection = connection;
     timers_.cancel(attempt.timer);
-    attempt.timer = timers_.set(attempt.until, [this, key = attempt.key] { expired(key); });
+    attempt.timer =
+        timers_.set(std::min(attempt.until, attempt.write_by), [this, key = attempt.key] { expired(key); });
     connection->send(attempt.key, attempt.request, std::max(0.0, attempt.until - clock_.now()));
 }
 
@@ -366,7 +383,14 @@
     Server& server = servers_.at(attempt.server);
     if (!attempt.connection) {
         std::erase(server.waiting, key);
-        return end(attempt, Outcome::refused_connection);
+        const bool too_late = clock_.now() >= attempt.write_by;
+        return end(attempt, too_late ? Outcome::superseded : Outcome::refused_connection);
+    }
+    if (clock_.now() < attempt.until) {
+        // Only its time to be written is over.
+        if (attempt.connection->writing()) return attempt.connection->stop_writing();
+        attempt.timer = timers_.set(attempt.until, [this, key] { expired(key); });
+        return;
     }
     // A write was begun, and its result may not have been seen yet: it may have run, whatever we know.
     std::exchange(attempt.connection, nullptr)->close();
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -58,8 +58,9 @@
     std::size_t attempts_at(ServerId id) const;
 
     // Of a server that set_server() has named. Ends as overdue at until, unless something else ends it
-    // before.
-    void start(AttemptKey key, ServerId server, Millis until, std::shared_ptr<const HttpRequest> request);
+    // before. Its last byte is handed to the kernel before write_by, or it ends as superseded.
+    void start(AttemptKey key, ServerId server, Millis until, Millis write_by,
+               std::shared_ptr<const HttpRequest> request);
     // Closes the attempt's connection before it returns; the attempt ends as recalled.
     void cancel(AttemptKey key);
 
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -214,8 +214,7 @@
         if (Server* s = pick.one_of(aperture.pool(), r, crowd, now, may)) return dispatch(r, *s);
         // Nobody may have it now. If one may later, hold it: at hold_until the timer answers.
         if (r.any_out()) return;
-        if (now >= r.hold_until || r.attempts.size() >= settings.max_attempts ||
-            (r.first_possible_run() && r.kind.effect == Effect::once))
+        if (now >= std::min(r.hold_until, r.write_by()) || r.attempts.size() >= settings.max_attempts)
             return finish(r);
         held.push_back(r.id);
         if (r.waiting) return;
@@ -237,8 +236,9 @@
         ++s.outstanding;
         s.sessions += r.session;
         outstanding += !is_cold_now;
+        const Millis write_by = r.write_by();  // by what was before this one
         r.attempts.push_back({s.info.id, s.info.zone, s.info.cell, now, true, true, trial, is_cold_now});
-        act(Send{r.id, s.info.id, r.cutoff});
+        act(Send{r.id, s.info.id, r.cutoff, write_by});
     }
 
     void on(const FirstByte& e) {
@@ -344,8 +344,8 @@
         if (r.ended || r.streaming) return;
         for (Attempt& a : r.attempts) a.timed_out = a.out && now >= r.deadline;
         cancel_all(r);
-        if (r.may_refuse(now))
-            act(Refuse{r.id, retry_in(r)});
+        if (const Millis back = retry_in(r); r.may_refuse(now + back))  // harmless when it comes back
+            act(Refuse{r.id, back});
         else
             act(GiveUp{r.id});
         r.ended = true;
--- a/src/policy/request.cpp
+++ b/src/policy/request.cpp
@@ -1,6 +1,7 @@
 #include "policy/request.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace hollybeam {
 
@@ -19,6 +20,13 @@
     return nullptr;
 }
 
+// The window runs from the first one's decision: no server can have seen it sooner.
+Millis Request::write_by() const {
+    const Attempt* first = first_possible_run();
+    if (!first || kind.effect == Effect::repeatable) return std::numeric_limits<Millis>::infinity();
+    return kind.effect == Effect::once ? 0 : first->sent_at + kind.dedup_window - kInTransit;
+}
+
 bool Request::in_scope(const Attempt& a, const ServerInfo& s) const {
     if (kind.dedup_scope == DedupScope::all) return true;
     return kind.dedup_scope == DedupScope::zone ? a.zone == s.zone : a.cell == s.cell;
@@ -29,22 +37,17 @@
     if (attempts.size() >= settings.max_attempts) return false;
     if (!s.open()) return false;  // rule 3
     if (any_out() && (!settings.parallel_tries || kind.effect == Effect::once)) return false;
-    if (kind.effect == Effect::once && first_possible_run()) return false;  // rule 2
+    if (now >= write_by()) return false;  // rule 2
     if (kind.effect == Effect::by_key)
-        if (const Attempt* first = first_possible_run()) {
-            if (now >= first->sent_at + kind.dedup_window) return false;
-            for (const Attempt& a : attempts)
-                if (a.may_have_run && !in_scope(a, s.info)) return false;
-        }
+        for (const Attempt& a : attempts)
+            if (a.may_have_run && !in_scope(a, s.info)) return false;
     return true;
 }
 
-bool Request::may_refuse(Millis now) const {
-    const Attempt* first = first_possible_run();
+bool Request::may_refuse(Millis at) const {
     if (ended || streaming) return false;
-    if (!first || kind.effect == Effect::repeatable) return true;
-    return kind.effect == Effect::by_key && kind.dedup_scope == DedupScope::all &&
-           now < first->sent_at + kind.dedup_window;
+    if (!first_possible_run() || kind.effect == Effect::repeatable) return true;
+    return kind.dedup_scope == DedupScope::all && at < write_by();
 }
 
 }  // namespace hollybeam
--- a/src/policy/request.hpp
+++ b/src/policy/request.hpp
@@ -31,6 +31,11 @@
     Millis hold_until = 0;  // what waits for room is refused after this
     std::vector<Attempt> attempts;
 
+    // Until when another attempt may leave. A keyed repeat: until servers may forget the first one, less what
+    // it may take to get there: PROTOCOL gives each time limit on sockets as much.
+    static constexpr Millis kInTransit = 50;
+    Millis write_by() const;
+
     bool any_out() const;
     bool tried(ServerId server) const;
     const Attempt* first_possible_run() const;
@@ -39,7 +44,7 @@
     // the limits; nothing may take effect twice; the list lets new requests go there.
     bool may_go_to(const Server& s, const Settings& settings, Millis now) const;
     // Rule 2 again: "trying again is harmless" has to be true.
-    bool may_refuse(Millis now) const;
+    bool may_refuse(Millis at) const;
 
 private:
     bool in_scope(const Attempt& a, const ServerInfo& s) const;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -356,13 +356,13 @@
 
 // ---- What the engine wants done ---------------------------------------------------------------------------
 
-void Sidecar::start(AttemptKey key, ServerId server, Millis until) {
+void Sidecar::start(AttemptKey key, ServerId server, Millis until, Millis write_by) {
     if (!websocket_ || !websocket_->has(key.request))
-        return upstream_.start(key, server, until, messages_.at(key.request));
+        return upstream_.start(key, server, until, write_by, messages_.at(key.request));
     Endpoint endpoint{};  // the module sends to what is listed only; any other could not be reached
     for (const auto& [uid, known] : servers_)
         if (known.id == server) endpoint = known.endpoint;
-    websocket_->start(key, server, endpoint, until);
+    websocket_->start(key, server, endpoint, until, write_by);
 }
 
 void Sidecar::cancel(AttemptKey key) {
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -76,7 +76,7 @@
     static std::uint32_t name_number(std::vector<std::string>& names, const std::string& name);
 
     // What the engine wants done.
-    void start(AttemptKey key, ServerId server, Millis until) override;
+    void start(AttemptKey key, ServerId server, Millis until, Millis write_by) override;
     void cancel(AttemptKey key) override;
     void finish(RequestId id, const engine::Final& outcome) override;
     void forget(RequestId id) override;
--- a/src/websocket/front.cpp
+++ b/src/websocket/front.cpp
@@ -111,7 +111,7 @@
 struct Front::Attempt {
     AttemptKey key;
     ServerId server = 0;
-    Millis started = 0, until = 0;
+    Millis started = 0, until = 0, write_by = 0;
     std::shared_ptr<Client> client;
     std::shared_ptr<Stream> stream;
     ws::response_type answer;
@@ -211,9 +211,10 @@
 
 // ---- Servers ----------------------------------------------------------------------------------------------
 
-void Front::start(AttemptKey key, ServerId server, const Endpoint& endpoint, Millis until) {
+void Front::start(AttemptKey key, ServerId server, const Endpoint& endpoint, Millis until, Millis write_by) {
     const auto attempt = std::make_shared<Attempt>();
     attempt->key = key, attempt->server = server, attempt->started = clock_.now(), attempt->until = until;
+    attempt->write_by = write_by;
     attempt->client = upgrades_.at(key.request);
     attempts_[key] = attempt;
     if (!budget_.take(Side::sessions)) {
@@ -231,6 +232,7 @@
 void Front::connected(const std::shared_ptr<Attempt>& attempt, Error error) {
     if (attempt->over) return;
     if (error) return end(attempt, Outcome::refused_connection);
+    if (clock_.now() >= attempt->write_by) return end(attempt, Outcome::superseded);
     timers_.cancel(attempt->timer);
     attempt->timer = timers_.set(attempt->until, [this, attempt] { end(attempt, Outcome::overdue); });
     Stream& stream = *attempt->stream;
--- a/src/websocket/front.hpp
+++ b/src/websocket/front.hpp
@@ -49,7 +49,7 @@
     bool has(RequestId id) const { return upgrades_.contains(id); }
 
     // Begins an upgrade at a server, to end as overdue at `until` at the latest.
-    void start(AttemptKey key, ServerId server, const Endpoint& endpoint, Millis until);
+    void start(AttemptKey key, ServerId server, const Endpoint& endpoint, Millis until, Millis write_by);
     void cancel(AttemptKey key);  // ends as recalled
     // The engine's outcome: the session begins, or the client has its answer and a close.
     void serve(RequestId id);
--- a/tests/engine/engine_test.cpp
+++ b/tests/engine/engine_test.cpp
@@ -20,7 +20,7 @@
         ServerId server;
         Millis until;
     };
-    void start(AttemptKey key, ServerId server, Millis until) override {
+    void start(AttemptKey key, ServerId server, Millis until, Millis) override {
         started.push_back({key, server, until});
     }
     void cancel(AttemptKey key) override {
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -77,7 +77,7 @@
         acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
             if (error) return;
             peers.push_back(std::make_shared<Peer>(std::move(socket)));
-            peers.back()->read();
+            if (reads) peers.back()->read();
             accept();
         });
     }
@@ -90,6 +90,7 @@
     std::string address() const { return text_of(acceptor.local_endpoint()); }
 
     tcp::acceptor acceptor;
+    bool reads = true;  // else what comes stays in the kernel until a test reads it
     std::vector<std::shared_ptr<Peer>> peers;
 };
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "net_rig.hpp"
+#include "pool_rig.hpp"
 
 namespace elmbay::test {
 
@@ -512,34 +513,6 @@
     EXPECT_EQ(server.requests(), 1U);
 }
 
-// The pool alone, with the outcomes it reports.
-struct PoolRig {
-    asio::io_context io{1};
-    Clock clock;
-    TimerQueue timers{io, clock};
-    SocketBudget budget;
-    FakeServer server{io};
-    std::vector<Outcome> ended;
-    Upstream upstream;
-
-    explicit PoolRig(std::size_t sockets)
-        : budget(sockets),
-          upstream(
-              io, budget, timers, clock, {10000, 15000},
-              [this](AttemptKey, Outcome outcome, Millis, const HttpResponse&) { ended.push_back(outcome); },
-              {}) {
-        tell(true);
-    }
-    void tell(bool may_send) { upstream.set_server(1, server.acceptor.local_endpoint(), may_send); }
-    void send() {
-        auto request = std::make_shared<HttpRequest>(http::verb::get, "/api", 11);
-        upstream.start({1, 0}, 1, clock.now() + 50000, std::move(request));
-    }
-    void run_until_ended() {
-        while (ended.empty() && io.run_one_for(std::chrono::seconds(60)) > 0) continue;
-    }
-};
-
 // Told between the attempt's start and its connection being up: not a byte may
 // go out any more.
 TEST(Drains, AnAttemptWaitingForItsConnectionStaysIn) {
--- a/tests/policy/rules_test.cpp
+++ b/tests/policy/rules_test.cpp
@@ -1,5 +1,7 @@
 // Rules 1 to 3 on every action, over seeded random but legal event sequences, and each rule's temptation.
 // The sequences pick outcomes at random; no server is modelled here.
+#include <cmath>
+
 #include "rig.hpp"
 
 namespace hollybeam::test {
@@ -189,6 +191,47 @@
     }
 }
 
+// The driver may be held up between the word and the write; it is told how long the write is worth it.
+TEST(Rule2, ARepeatIsToBeWrittenWhileTheFirstIsRemembered) {
+    for (const Effect effect : {Effect::by_key, Effect::repeatable}) {
+        Rig rig(make_settings({make_class(effect, DedupScope::all, 300)}));
+        rig.list(ListKind::full, make_servers(3));
+        const Millis first = rig.now;
+        const RequestId id = rig.request();
+        const auto write_by = [&rig] {
+            for (const Action& a : rig.last)
+                if (const auto* send = std::get_if<Send>(&a)) return send->write_by;
+            return 0.0;
+        };
+        EXPECT_TRUE(std::isinf(write_by())) << "nothing came before it";
+        rig.end(id, Outcome::errored, 100);
+        ASSERT_EQ(rig.sends(id), 2U);
+        EXPECT_EQ(std::isinf(write_by()), effect == Effect::repeatable);
+        if (effect == Effect::by_key) {
+            EXPECT_LT(write_by(), first + 300);
+            EXPECT_GT(write_by(), first + 200);
+        }
+        // It was not written in time, and nothing else may be either: the answer does not wait.
+        if (effect != Effect::by_key) continue;
+        rig.end(id, Outcome::superseded, 190);
+        EXPECT_EQ(rig.requests.at(id).answers, 1);
+        EXPECT_FALSE(rig.requests.at(id).refused) << "the client's next one could run as well";
+    }
+}
+
+// A refusal says that the next try is harmless: also when it comes.
+TEST(Rule2, ByKeyIsNotRefusedSoLateThatTheNextTryMissesTheWindow) {
+    for (const Millis after : {20.0, 200.0}) {
+        Rig rig(make_settings({make_class(Effect::by_key, DedupScope::all, 300)}));
+        rig.list(ListKind::full, make_servers(1));
+        const RequestId id = rig.request(0, 1000);
+        rig.end(id, Outcome::errored, after - 3);
+        for (int i = 0; i < 3; ++i) rig.end(id, Outcome::saturated, 1);  // no attempt is left
+        EXPECT_EQ(rig.requests.at(id).answers, 1);
+        EXPECT_EQ(rig.requests.at(id).refused, after == 20) << after;
+    }
+}
+
 TEST(Rule3, NothingIsSentToADrainingServer) {
     Rig rig = three(make_class(Effect::repeatable));
     rig.list(ListKind::incremental, {{1, 0, 0, 0, Phase::fading, 0}});
