A silent watch is opened anew within 6 s in the worst case, and an agent that is back is heard

While discovery refused, the wait between two tries grew to 1.5 s, and what the agent has at its return counts at once, with 0.5 s of grace for drains.

Lines: kSilence, kMostWait and expect() in ask(). Silence is now 3 s (an empty line comes every 2), a pushed list's answer must begin within 1.5 s, waits stay under 0.4 s and grow only with refusals. The sum stands in the header, checked by static_assert.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -15,13 +15,6 @@
 using tcp = asio::ip::tcp;
 using Error = boost::system::error_code;
 
-constexpr Millis kFirstWait = 50, kMostWait = 1000;  // between two tries
-// An empty line comes every 2 s; after two are missing the other side is taken for gone. What it has to tell
-// counts as told 6 s later.
-constexpr Millis kSilence = 4500;
-// It answers from its own machine: what takes longer than this to be there is not coming. A new one counts as
-// heard 4 s after it is named, so several tries must fit in that.
-constexpr Millis kConnect = 500;
 // The parser reads ahead of itself this far at most: head, or a chunk's line.
 constexpr std::size_t kMostAhead = 64 * 1024;
 // Thousands of servers. Read as JSON it takes several times its size, of a memory of some ten MB.
@@ -62,7 +55,8 @@
 
 private:
     void ask() {
-        expect(kSilence);
+        answered_ = false;
+        expect(owner_.reconnect_ ? kAnswer : kTurn);
         request_ = {};
         request_.version(11);
         request_.method(http::verb::get);
@@ -117,6 +111,7 @@
             end("answered with another status");
             return false;
         }
+        if (parser_->is_header_done() && !std::exchange(answered_, true)) expect(kSilence);
         if (parser_->get().body().data) {
             const std::size_t got = piece_.size() - parser_->get().body().size;
             text_.append(piece_.data(), got);
@@ -174,14 +169,14 @@
         owner_.timers_.cancel(silence_);
         silence_ = owner_.timers_.set(owner_.clock_.now() + within, [self = shared_from_this()] {
             self->silence_ = {};
-            self->end("is silent");
+            self->end("is silent", false);
         });
     }
 
-    void end(const char* why) {
+    void end(const char* why, bool refused = true) {
         if (closed_) return;
         close();
-        owner_.ended(why);
+        owner_.ended(why, refused);
     }
 
     Discovery& owner_;
@@ -192,6 +187,7 @@
     std::array<char, 8192> piece_{};
     std::string text_;
     bool watch_ = true, closed_ = false;
+    bool answered_ = false;  // the answer at hand has begun
     TimerQueue::Key silence_{};
 };
 
@@ -237,19 +233,19 @@
 }
 
 void Discovery::begin() {
-    if (!budget_.take(Side::servers)) return ended("has no socket");
+    if (!budget_.take(Side::servers)) return ended("has no socket", true);
     call_ = std::make_shared<Call>(*this);
     call_->start();
 }
 
-void Discovery::ended(const char* why) {
+void Discovery::ended(const char* why, bool refused) {
     call_.reset();
     if (!watching_) return;
     if (wait_ > kFirstWait * 2) std::cerr << "elmbay: discovery " << why << "; trying again" << std::endl;
     if (reconnect_) {
         // Not in step with the other sidecars: all lose their watch at the same moment.
         const Millis wait = wait_ * std::uniform_real_distribution<>(0.5, 1.5)(random_);
-        wait_ = std::min(wait_ * 2, kMostWait);
+        if (refused) wait_ = std::min(wait_ * 2, kMostWait);
         again_ = timers_.set(clock_.now() + wait, [this] {
             again_ = {};
             begin();
