--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -43,6 +43,10 @@
         Error error;
         return !closed_ && socket_.available(error) > 0;
     }
+    // What has been written to us has been told, also where nobody will listen here any more.
+    void last_words() {
+        if (parser_ && unread()) receive();
+    }
 
     void close() {
         if (closed_) return;
@@ -223,6 +227,7 @@
 bool Discovery::unread() const { return call_ && call_->unread(); }
 
 void Discovery::move_to(const Endpoint& endpoint) {
+    if (const auto call = call_) call->last_words();
     stop();  // no ended(): the module has not lost its list and need not ask again
     endpoint_ = endpoint;
     // Versions are each service's own: what we hold says nothing of where the new one stands.
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -445,6 +445,25 @@
     EXPECT_FALSE(late);
 }
 
+// A drain that was written to us as SIGHUP moves discovery, and that the loop has not come to: it has been
+// told, and the new address may take seconds.
+TEST(Silence, WhatTheOldAddressHadWrittenIsReadBeforeItIsLeft) {
+    NetRig rig;
+    rig.start();
+    rig.watch_begins();
+    rig.chunk("\n");
+    rig.settle();
+    FakeServer moved(rig.io);  // it says nothing
+    rig.chunk(rig.line(rig.targets("leaving"), false));
+    rig.config["discovery"] = moved.address();
+    rig.sidecar->reload(parse_config(rig.config.dump()));
+    const auto client = rig.client();
+    client->send(NetRig::request("safe", "1000m"));
+    ASSERT_TRUE(rig.until([&] { return client->got.size() > 12 || rig.servers.front().requests() > 0; }));
+    EXPECT_EQ(rig.servers.front().requests(), 0U);
+    EXPECT_EQ(status_of(*client), "HTTP/1.1 503");
+}
+
 }  // namespace
 
 }  // namespace elmbay::test
