An asked-for list is heard within 6 s of a silence, and asked for once at a start

After outages the module's wait grew to 12 s.

Ruled out: the services' speed (capacity in the site file changes nothing there), late reading (bytes are read in the millisecond in which they come).

Now one clock for both kinds of list: the driver opens anew after 3 s of silence, answered or not, by itself, waits 125 to 600 ms between calls, and the sums stand as static_asserts. A list that is held, also in version 0, is watched from there. AskedList.*, four tests: each seen failing on the code before.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -60,7 +60,7 @@
 private:
     void ask() {
         answered_ = false;
-        expect(owner_.reconnect_ ? kAnswer : kTurn);
+        expect(owner_.mode_ == Mode::pushed ? kAnswer : kSilence);
         request_ = {};
         request_.version(11);
         request_.method(http::verb::get);
@@ -164,8 +164,8 @@
             return false;
         }
         owner_.rev_ = listing.rev;
-        owner_.wait_ = kFirstWait;
-        owner_.handlers_.listed(std::move(listing));
+        owner_.wait_ = owner_.waits_.first;
+        owner_.listed_(std::move(listing));
         return !closed_;
     }
 
@@ -196,19 +196,20 @@
 };
 
 Discovery::Discovery(asio::io_context& io, const Endpoint& endpoint, SocketBudget& budget, TimerQueue& timers,
-                     const Clock& clock, std::uint64_t rev, std::uint64_t seed, bool reconnect,
-                     Handlers handlers)
+                     const Clock& clock, std::optional<std::uint64_t> rev, std::uint64_t seed, Mode mode,
+                     std::function<void(Listing)> listed)
     : io_(io),
       endpoint_(endpoint),
       budget_(budget),
       timers_(timers),
       clock_(clock),
-      rev_(rev),
-      whole_(rev == 0),
-      reconnect_(reconnect),
+      rev_(rev.value_or(0)),
+      whole_(!rev),
+      mode_(mode),
+      waits_(mode == Mode::pushed ? kPushed : kAsked),
       random_(seed),
-      handlers_(std::move(handlers)),
-      wait_(kFirstWait) {}
+      listed_(std::move(listed)),
+      wait_(waits_.first) {}
 
 Discovery::~Discovery() = default;
 
@@ -228,12 +229,12 @@
 
 void Discovery::move_to(const Endpoint& endpoint) {
     if (const auto call = call_) call->last_words();
-    stop();  // no ended(): the module has not lost its list and need not ask again
+    stop();
     endpoint_ = endpoint;
     // Versions are each service's own: what we hold says nothing of where the new one stands.
     whole_ = true;
     rev_ = 0;
-    wait_ = kFirstWait;
+    wait_ = waits_.first;
     watch();
 }
 
@@ -246,19 +247,13 @@
 void Discovery::ended(const char* why, bool refused) {
     call_.reset();
     if (!watching_) return;
-    if (wait_ > kFirstWait * 2) std::cerr << "elmbay: discovery " << why << "; trying again" << std::endl;
-    if (reconnect_) {
-        // Not in step with the other sidecars: all lose their watch at the same moment.
-        const Millis wait = wait_ * std::uniform_real_distribution<>(0.5, 1.5)(random_);
-        if (refused) wait_ = std::min(wait_ * 2, kMostWait);
-        again_ = timers_.set(clock_.now() + wait, [this] {
-            again_ = {};
-            begin();
-        });
-    } else {
-        watching_ = false;
-    }
-    handlers_.failed();
+    if (wait_ >= waits_.most) std::cerr << "elmbay: discovery " << why << "; trying again" << std::endl;
+    const Millis wait = wait_ * std::uniform_real_distribution<>(1 - kJitter, 1 + kJitter)(random_);
+    if (refused) wait_ = std::min(wait_ * 2, waits_.most);
+    again_ = timers_.set(clock_.now() + wait, [this] {
+        again_ = {};
+        begin();
+    });
 }
 
 }  // namespace elmbay
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -80,6 +80,12 @@
     return site.give_up.empty() ? 0 : *std::max_element(site.give_up.begin(), site.give_up.end());
 }
 
+// A list that names nobody, in the version that every list begins with, is none.
+std::optional<std::uint64_t> held_rev(const Listing& known) {
+    if (known.rev == 0 && known.targets.empty()) return {};
+    return known.rev;
+}
+
 Config with_sessions(Config config, const websocket::Settings& websocket) {
     const auto bound = [](std::uint64_t n) {
         return static_cast<std::uint32_t>(std::min<std::uint64_t>(n, UINT32_MAX));
@@ -125,16 +131,11 @@
                                          [this](RequestId id, bool broken) {
                                              engine_.session_ended(clock_.now(), id, broken);
                                          }})),
-      discovery_(io, config_.discovery, budget_, timers_, clock_, config_.known.rev, config_.seed,
-                 !config_.site.settings.list_on_request,
-                 {[this](const Listing& listing) {
-                      listed(listing.all ? ListKind::full : ListKind::incremental, listing);
-                  },
-                  // Where lists are pushed the watch comes back by itself; else the module says when.
-                  [this] {
-                      if (config_.site.settings.list_on_request)
-                          engine_.listed(clock_.now(), {ListKind::failed, {}});
-                  }}),
+      discovery_(io, config_.discovery, budget_, timers_, clock_, held_rev(config_.known), config_.seed,
+                 config_.site.settings.list_on_request ? Discovery::Mode::asked : Discovery::Mode::pushed,
+                 [this](const Listing& listing) {
+                     listed(listing.all ? ListKind::full : ListKind::incremental, listing);
+                 }),
       listener_(io, config_.listen, budget_, bytes_, timers_, clock_, longest_deadline(config_.site),
                 listener_handlers(websocket)) {
     engine_.begin(clock_.now());
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -486,6 +486,91 @@
     EXPECT_EQ(status_of(*client), "HTTP/1.1 503");
 }
 
+// ---- A list that is asked for -----------------------------------------------------------------------------
+
+// Its service hears every sidecar in turn, refuses whom it can't hear in time, and falls silent like any
+// other.
+struct Asked : NetRig {
+    static constexpr std::chrono::milliseconds kItsTurn{1000};
+    bool told = false;  // what was missed counts as told
+    asio::steady_timer clock{io}, turn{io};
+
+    Asked() { config["settings"]["membership-mode"] = "on_request"; }
+    // From now on it is silent.
+    void falls_silent() {
+        clock.expires_after(std::chrono::seconds(6));
+        clock.async_wait([this](boost::system::error_code error) { told = !error; });
+    }
+    // The call that has come has its turn, and the answer names a drain.
+    void tells_the_drain() {
+        bool now = false;
+        turn.expires_after(kItsTurn);
+        turn.async_wait([&](boost::system::error_code error) { now = !error; });
+        ASSERT_TRUE(until([&] { return now; }));
+        watch_begins();
+        chunk(line(targets("leaving"), false));
+        settle();
+    }
+    bool knows_the_drain() {
+        const auto asks = client();
+        asks->send(request("safe", "1000m"));
+        return until([&] { return asks->got.size() > 12; }) && status_of(*asks) == "HTTP/1.1 503" &&
+               servers.front().requests() == 0;
+    }
+};
+
+TEST(AskedList, ASilentWatchIsOpenedAnewInTimeThoughTheFirstCallIsRefused) {
+    Asked rig;
+    rig.start();
+    rig.watch_begins();
+    rig.chunk("\n");
+    rig.settle();
+    rig.falls_silent();
+    ASSERT_TRUE(rig.until([&] { return rig.discovery.requests() == 2; }));
+    rig.discovery.last().respond("503 Busy");
+    ASSERT_TRUE(rig.until([&] { return rig.discovery.requests() == 3; }));
+    rig.tells_the_drain();
+    EXPECT_FALSE(rig.told);
+    EXPECT_TRUE(rig.knows_the_drain());
+}
+
+TEST(AskedList, ACallThatIsNeverAnsweredIsMadeAnewInTime) {
+    Asked rig;
+    rig.start();
+    rig.falls_silent();
+    ASSERT_TRUE(rig.until([&] { return rig.discovery.requests() == 2; }));
+    rig.tells_the_drain();
+    EXPECT_FALSE(rig.told);
+    EXPECT_TRUE(rig.knows_the_drain());
+}
+
+// However long it was away.
+TEST(AskedList, RefusalsDoNotMakeItDeafToTheReturn) {
+    Asked rig;
+    rig.start();
+    bool late = false;
+    asio::steady_timer clock(rig.io, std::chrono::seconds(10));
+    clock.async_wait([&](boost::system::error_code error) { late = !error; });
+    for (std::size_t i = 1; i <= 9; ++i) {
+        rig.discovery.last().respond("503 Down");
+        ASSERT_TRUE(rig.until([&] { return rig.discovery.requests() == i + 1; }));
+    }
+    EXPECT_FALSE(late);
+}
+
+// A fleet that starts makes one call each, not two: whose list is of the first version watches from there.
+TEST(AskedList, OneThatIsHeldIsNotAskedForAgain) {
+    Asked rig;
+    rig.config["known"]["rev"] = 0;
+    rig.start();
+    EXPECT_NE(rig.discovery.last().got.find("stream=1&index=0 "), std::string::npos);
+    Asked without;
+    without.config.erase("known");
+    without.start();
+    EXPECT_NE(without.discovery.last().got.find("GET /discovery/hosts "), std::string::npos)
+        << "the whole list";
+}
+
 }  // namespace
 
 }  // namespace elmbay::test
