--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -1,7 +1,10 @@
 // What ends while something is still owed: each test brings two events together that may cross on real
 // sockets, in an order that it fixes, and looks at what comes of the request between them.
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <thread>
+
 #include "net_rig.hpp"
 #include "pool_rig.hpp"
 
@@ -571,6 +574,184 @@
         << "the whole list";
 }
 
+// ---- Crossings within one turn of the loop ----------------------------------------------------------------
+
+// While the loop stands still: until then, by the sidecar's own clock.
+void stand_still(const Clock& clock, Millis until) {
+    while (clock.now() < until) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+}
+
+// The answer, the attempt's time-out and a cancel are all there as the loop goes on: one outcome, whichever
+// is first.
+TEST(OneTurn, AnAnswerAndTheTimeOutGiveOneOutcome) {
+    PoolRig rig(10);
+    rig.send(std::numeric_limits<Millis>::infinity(), 0, 300);
+    const Millis until = rig.clock.now() + 300;
+    while (rig.server.requests() == 0) ASSERT_GT(rig.io.run_one_for(std::chrono::seconds(60)), 0U);
+    rig.server.last().respond("200 OK", "answer");
+    stand_still(rig.clock, until + 1);
+    rig.run_until_ended();
+    rig.io.poll();
+    ASSERT_EQ(rig.ended.size(), 1U);
+    EXPECT_TRUE(rig.ended.front() == Outcome::completed || rig.ended.front() == Outcome::overdue);
+    EXPECT_EQ(rig.upstream.attempts_at(1), 0U);
+}
+
+TEST(OneTurn, ACancelAheadOfTheAnswerAndTheTimeOutIsTheOutcome) {
+    PoolRig rig(10);
+    rig.send(std::numeric_limits<Millis>::infinity(), 0, 300);
+    const Millis until = rig.clock.now() + 300;
+    while (rig.server.requests() == 0) ASSERT_GT(rig.io.run_one_for(std::chrono::seconds(60)), 0U);
+    rig.server.last().respond("200 OK", "answer");
+    stand_still(rig.clock, until + 1);
+    rig.upstream.cancel({1, 0});
+    rig.upstream.cancel({1, 0});
+    rig.run_until_ended();
+    rig.io.poll();
+    EXPECT_EQ(rig.ended, std::vector<Outcome>{Outcome::recalled});
+    EXPECT_EQ(rig.upstream.attempts_at(1), 0U);
+}
+
+// The write's end, its own time to be written and a reset: broken off, it can't be said to have run or not
+// before the write's result tells, and that is told once.
+TEST(OneTurn, AResetAndTheEndOfTheTimeToWriteGiveOneOutcome) {
+    PoolRig rig(10);
+    rig.server.reads = false;
+    rig.send(300, 64 << 20);
+    const Millis until = rig.clock.now() + 300;
+    while (rig.server.peers.empty() || rig.server.last().socket.available() == 0)
+        ASSERT_GT(rig.io.run_one_for(std::chrono::seconds(60)), 0U);
+    rig.server.last().reset();
+    stand_still(rig.clock, until + 1);
+    rig.run_until_ended();
+    rig.io.poll();
+    ASSERT_EQ(rig.ended.size(), 1U);
+    EXPECT_TRUE(rig.ended.front() == Outcome::refused_connection || rig.ended.front() == Outcome::superseded)
+        << "its last byte never went out";
+    EXPECT_EQ(rig.upstream.attempts_at(1), 0U);
+}
+
+// The client leaves, its time is over and its answer is there: the request has one end, and nothing is left
+// of it.
+TEST(OneTurn, AClientThatLeavesAsItsAnswerComesAndItsTimeEndsIsCountedOnce) {
+    NetRig rig;
+    rig.start();
+    auto& server = rig.servers.front();
+    const Clock clock;
+    const auto client = rig.client();
+    client->send(NetRig::request("unsafe", "400m"));
+    const Millis until = clock.now() + 400;
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 1; }));
+    server.last().respond("200 OK", "answer");
+    client->reset();
+    stand_still(clock, until + 1);
+    rig.settle();
+    ASSERT_TRUE(rig.until([&] { return rig.sidecar->requests() == 0; }));
+    const Json requests = rig.sidecar->status()["requests"];
+    EXPECT_EQ(requests["taken"], 1);
+    EXPECT_EQ(requests["served"].get<int>() + requests["refused"].get<int>() + requests["failed"].get<int>() +
+                  requests["gone"].get<int>(),
+              1)
+        << requests.dump();
+    EXPECT_EQ(server.requests(), 1U);
+}
+
+// ---- What is given up to make room, or for want of time ---------------------------------------------------
+
+// A client that takes its answer in drips, or not at all, and small pieces at a time, so that the kernel
+// can't hold it.
+std::shared_ptr<Peer> narrow_client(NetRig& rig) {
+    tcp::socket socket(rig.io);
+    socket.open(tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(4096));
+    const int segment = 536;
+    EXPECT_EQ(::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment), 0);
+    socket.connect(rig.sidecar->local_endpoint());
+    return std::make_shared<Peer>(std::move(socket));  // it does not read yet
+}
+
+// Nobody is owed an answer half a second after the longest deadline, by the settings: who has not taken it by
+// then is given up, and can tell that it is not whole.
+TEST(GivenUp, AnAnswerThatIsNotTakenByTheLongestDeadlineAndAHalf) {
+    NetRig rig;
+    for (auto& kind : rig.config["settings"]["classes"]) kind["give-up-ms"] = 500;
+    rig.config["limits"]["memory_mb"] = 64;
+    rig.start();
+    auto& server = rig.servers.front();
+    const auto client = narrow_client(rig);
+    client->send(NetRig::request("safe"));
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 1; }));
+    const std::string body(400000, 'a');
+    bool late = false;  // 3 s, as it once was whatever the deadlines, would be
+    asio::steady_timer clock(rig.io, std::chrono::milliseconds(2500));
+    clock.async_wait([&](boost::system::error_code error) { late = !error; });
+    server.last().respond("200 OK", body);
+    ASSERT_TRUE(rig.until([&] { return client->socket.available() > 0; }));
+    ASSERT_TRUE(rig.until([&] { return rig.sidecar->status()["sockets"]["clients"] == 1; }))
+        << "the one that is waited for";
+    EXPECT_FALSE(late);
+    client->read();
+    ASSERT_TRUE(rig.until([&] { return client->closed; }));
+    EXPECT_EQ(status_of(*client), "HTTP/1.1 200");
+    EXPECT_NE(client->got.find("Content-Length: 400000"), std::string::npos);
+    EXPECT_LT(client->got.size(), body.size()) << "its length tells";
+}
+
+// A connection that has ended still has its answer on the way. Bytes that its client sends in that moment
+// would make closing it a reset; so it is not the one that makes room for another.
+TEST(GivenUp, AnEndedConnectionWithUnreadBytesDoesNotMakeRoom) {
+    NetRig rig;
+    rig.config["limits"]["sockets"] = 64;  // 14 of them for clients, one being accepted on
+    rig.start();
+    auto& server = rig.servers.front();
+    std::vector<std::shared_ptr<Peer>> clients;
+    for (std::size_t i = 1; i <= 13; ++i) {
+        clients.push_back(rig.client());
+        clients.back()->send(NetRig::request("safe", "50000m", i == 13 ? "Connection: close\r\n" : ""));
+        ASSERT_TRUE(rig.until([&] { return server.requests() == i; }));
+        server.last().respond("200 OK", "answer");
+        ASSERT_TRUE(rig.until([&] { return clients.back()->got.find("answer") != std::string::npos; }));
+    }
+    const auto ended = clients.back();
+    ASSERT_TRUE(rig.until([&] { return ended->closed; }));
+    EXPECT_EQ(ended->why, asio::error::eof);
+    // Who is in the middle of a request keeps its socket.
+    for (const auto& client : clients)
+        if (client != ended) client->send("GET /api HT");
+    while (rig.io.poll_one() > 0) continue;
+    const auto next = rig.client();  // the loop hears of it first
+    ended->send("more");
+    while (rig.io.poll_one() > 0) continue;
+    boost::system::error_code error;
+    asio::write(ended->socket, asio::buffer(std::string("and more")), error);
+    EXPECT_FALSE(error) << "not reset: " << error.message();
+    ended->close();
+    next->send(NetRig::request("safe"));
+    ASSERT_TRUE(rig.until([&] { return server.requests() == 14; })) << "it comes in all the same";
+}
+
+// ---- Starts -----------------------------------------------------------------------------------------------
+
+// A fleet that starts while the service of the list is down is ready by what it knows.
+TEST(Starts, WithNobodyToAskForTheListItServesWhatItKnows) {
+    for (const char* mode : {"pushed", "on_request"}) {
+        SCOPED_TRACE(mode);
+        NetRig rig;
+        rig.config["settings"]["membership-mode"] = mode;
+        rig.discovery.acceptor.close();  // refuses
+        rig.sidecar = std::make_unique<Sidecar>(rig.io, parse_config(rig.config.dump()));
+        const auto up = rig.client();
+        up->send("GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+        ASSERT_TRUE(rig.until([&] { return up->got.size() > 12; }));
+        EXPECT_EQ(status_of(*up), "HTTP/1.1 200");
+        const auto client = rig.client();
+        client->send(NetRig::request("unsafe"));
+        ASSERT_TRUE(rig.until([&] { return rig.servers.front().requests() == 1; }));
+        rig.servers.front().last().respond("200 OK", "answer");
+        ASSERT_TRUE(rig.until([&] { return client->got.find("answer") != std::string::npos; }));
+    }
+}
+
 }  // namespace
 
 }  // namespace elmbay::test
