Of two servers the one with fewer requests for its listed size is picked

Checked: the list tells sizes (capacity_hint; units on the simulator's wire), and nothing read them; with thin traffic nearly all counts are 0 or 1, so a machine of 1 core was asked for as much as one of 16, answered late, and its late answers closed the room for all. Wrong: Pick::better_of_two() compared counts alone. Ruled out: full queues (few turned away).

Now requests, this one among them, are compared by size. Discovery.AServersSizeIsHeeded (sockets) and Pick.FewerForItsSizeWins do not hold with the counts.

--- a/include/hollybeam/balancer.hpp
+++ b/include/hollybeam/balancer.hpp
@@ -80,6 +80,7 @@
     std::uint32_t cell = 0;
     Phase phase = Phase::on;
     Millis online_since = 0;  // when it last started; 0: long ago
+    double weight = 1;        // its size against other servers' as the list tells it; finite, over 0
 };
 
 // incremental: changed entries only. full: the whole list. saved: the whole list as last held before this
--- a/src/base/config.cpp
+++ b/src/base/config.cpp
@@ -83,6 +83,8 @@
         t.cell = static_cast<std::uint32_t>(whole(*at, path + ".pod_group"));
     if (const auto at = entry.find("boot_ms"); at != entry.end())
         t.online_since = number(*at, path + ".boot_ms");
+    if (const auto at = entry.find("capacity_hint"); at != entry.end())
+        t.weight = hollybeam::sound_weight(number(*at, path + ".capacity_hint"));
     return t;
 }
 
--- a/src/base/config.hpp
+++ b/src/base/config.hpp
@@ -31,6 +31,7 @@
     std::uint32_t cell = 0;
     hollybeam::Phase phase = hollybeam::Phase::on;
     Millis online_since = 0;
+    double weight = 1;  // hollybeam::ServerInfo's
 };
 struct Listing {
     std::uint64_t rev = 0;
--- a/src/base/site.cpp
+++ b/src/base/site.cpp
@@ -74,6 +74,11 @@
     fail(field, "is not a truth value");
 }
 
+double sound_weight(double told) {
+    constexpr double kMost = 1000;  // machines of a deployment differ by tens
+    return std::isfinite(told) && told > 0 ? std::clamp(told, 1 / kMost, kMost) : 1;
+}
+
 std::uint32_t number_of(std::vector<std::string>& names, std::string_view name) {
     const auto at = std::find(names.begin(), names.end(), name);
     const auto number = static_cast<std::uint32_t>(at - names.begin());
--- a/src/base/site.hpp
+++ b/src/base/site.hpp
@@ -65,6 +65,9 @@
     Millis connect_timeout = 250;
     Millis idle_close = 15000;
 };
+// A server's weight as its list tells it, made sound: 1 for what is no size at all, and never so far from it
+// that one server would have all or nothing.
+double sound_weight(double told);
 // A name's number; one not met before gets the next.
 std::uint32_t number_of(std::vector<std::string>& names, std::string_view name);
 Site read_site(const Fields& settings);
--- a/src/policy/admission.hpp
+++ b/src/policy/admission.hpp
@@ -31,19 +31,17 @@
     // least.
     static constexpr double kFirst = 5, kBelieved = 2;
     static constexpr double kLeastShare = 0.05;  // answers quicker than this teach no more
-    static constexpr double kWanted =
-        1;  // an answer opens a room that is full so far, while nothing is crowded
-    static constexpr Millis kLearned = 60000;  // what was learned fades so
+    static constexpr double kWanted = 1;         // so far an answer opens a room that is full, with no crowd
+    static constexpr Millis kLearned = 60000;    // what was learned fades so
     static constexpr double kFloor = 4;  // attempts at a server by all sidecars together that are always left
     static constexpr double kOpen = 2, kHalfOpen = 0.5, kProbe = 0.02;  // a light sidecar's room
     static constexpr Millis kProbesGrow = 3000;                         // by e in this time
     // Answers take this share of their aim: where a late one, by exp(-1 / share), is first a hundredth and
     // more. A nearer server or a quicker growing room is worth less than that.
     static constexpr double kCrowded = 0.25;
-    static constexpr double kMostRatio =
-        1.5;                                 // of an answer's time to its aim: what a turned-away one counts
-    static constexpr double kUsedOver = 20;  // answers; twice that weight to each
-    static constexpr Millis kMemory = 5000;  // as long as what servers complete (Aperture)
+    static constexpr double kMostRatio = 1.5;  // of time to aim: what a turned-away one counts
+    static constexpr double kUsedOver = 20;    // answers; twice that weight to each
+    static constexpr Millis kMemory = 5000;    // as long as what servers complete (Aperture)
     // The part of the room that is there for every class, however little its worth, and all that repeats get:
     // a repeat's aim has been running since its first try.
     static constexpr double kCommonRoom = 0.6;
--- a/src/policy/pick.cpp
+++ b/src/policy/pick.cpp
@@ -24,9 +24,11 @@
     const Server &a = *fresh_[first], &b = *fresh_[second];
     const bool nearer = near > 0 && second >= near;
     const int grace = nearer && crowd.our_part * fee_ > std::exp(-1 / crowd.value);
-    const auto held = [&](const Server& s) { return session ? static_cast<int>(s.sessions) : s.outstanding; };
-    const bool other =
-        held(b) + grace < held(a) || (held(b) == held(a) && !nearer && pace_->of(b, now) < pace_->of(a, now));
+    const auto load = [&](const Server& s, int more) {
+        return ((session ? static_cast<int>(s.sessions) : s.outstanding) + more) / s.info.weight;
+    };
+    const bool other = load(b, 1 + grace) < load(a, 1) ||
+                       (load(b, 1) == load(a, 1) && !nearer && pace_->of(b, now) < pace_->of(a, now));
     return fresh_[other ? second : first];
 }
 
--- a/src/policy/pick.hpp
+++ b/src/policy/pick.hpp
@@ -1,6 +1,6 @@
-// Pick: of two servers drawn by chance, the one with fewer of our outstanding requests (DESIGN), or for a
-// session of our sessions. Where they are equal the quicker one; where crossing zones costs and there is no
-// crowd, the nearer.
+// Pick: of two servers drawn by chance, the one with fewer of our outstanding requests (DESIGN) for its size,
+// this one among them, or for a session of our sessions. Where they are equal the quicker one; where crossing
+// zones costs and there is no crowd, the nearer.
 #pragma once
 
 #include <algorithm>
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -343,7 +343,8 @@
                       name_number(config_.site.kinds, t.kind),
                       t.cell,
                       t.phase,
-                      t.online_since};
+                      t.online_since,
+                      t.weight};
         known.listed = t.phase != Phase::off;
         known.endpoint = t.endpoint;
         if (known.listed) displace(t, known, list);
--- a/src/simulator/wire.cpp
+++ b/src/simulator/wire.cpp
@@ -228,6 +228,7 @@
         e.cell = static_cast<std::uint32_t>(entry.integer_or("pod", 0));
         e.phase = named(entry, "phase", phases);
         e.online_since = entry.number_or("online-since-ms", 0);
+        e.weight = sound_weight(entry.number_or("units", 1));
         entries.push_back(std::move(e));
     }
     catalogs_[ref] = std::move(entries);
@@ -256,7 +257,8 @@
             const ServerId id = instance.server(e.server);
             instance.servers[id].listed = e.phase != Phase::off;
             list.servers.push_back({id, number_of(instance.site.zones, e.zone),
-                                    number_of(instance.site.kinds, e.kind), e.cell, e.phase, e.online_since});
+                                    number_of(instance.site.kinds, e.kind), e.cell, e.phase, e.online_since,
+                                    e.weight});
         }
     }
     give(instance, list);
--- a/src/simulator/wire.hpp
+++ b/src/simulator/wire.hpp
@@ -38,6 +38,7 @@
     std::uint32_t cell = 0;
     Phase phase = Phase::on;
     Millis online_since = 0;
+    double weight = 1;
 };
 
 // Runs until the end of input; returns the process's exit status.
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -573,6 +573,30 @@
     EXPECT_EQ(server.requests(), 1U);
 }
 
+// Of servers that the list calls unlike, the small one gets little, and what is no size counts as none told.
+TEST(Discovery, AServersSizeIsHeeded) {
+    NetRig rig(2);
+    rig.config["known"]["targets"][0]["capacity_hint"] = 0.25;
+    rig.config["known"]["targets"][1]["capacity_hint"] = 16.0;
+    rig.start();
+    auto &small = rig.servers.front(), &large = rig.servers.back();
+    const auto client = rig.client();
+    for (std::size_t i = 1; i <= 20; ++i) {
+        client->got.clear();
+        client->send(NetRig::request("safe"));
+        ASSERT_TRUE(rig.until([&] { return small.requests() + large.requests() == i; }));
+        for (FakeServer* server : {&small, &large})
+            for (const auto& peer : server->peers)
+                while (peer->answered < peer->requests()) ++peer->answered, peer->respond("200 OK", "answer");
+        ASSERT_TRUE(rig.until([&] { return client->got.find("answer") != std::string::npos; }));
+    }
+    EXPECT_EQ(small.requests(), 0U) << "by count alone it would be half of them";
+    for (const double nonsense : {0.0, -3.0, std::nan(""), std::numeric_limits<double>::infinity()})
+        EXPECT_EQ(hollybeam::sound_weight(nonsense), 1) << nonsense;
+    EXPECT_EQ(hollybeam::sound_weight(1e300), 1000);
+    EXPECT_EQ(hollybeam::sound_weight(1e-300), 0.001);
+}
+
 TEST(Discovery, AServerThatMovesIsReachedAtItsNewAddress) {
     NetRig rig(1);
     rig.start();
--- a/tests/policy/balancer_test.cpp
+++ b/tests/policy/balancer_test.cpp
@@ -321,6 +321,23 @@
     EXPECT_LT(slow, 18) << "by chance it would be 25";
 }
 
+// Thin traffic shows no queues: without their sizes a small machine would be asked for as much as a large
+// one.
+TEST(Pick, FewerForItsSizeWins) {
+    Rig rig(make_settings());
+    std::vector<ServerInfo> servers = make_servers(12);
+    for (ServerInfo& s : servers) s.weight = s.id <= 6 ? 1 : 16;
+    rig.list(ListKind::full, servers);
+    int small = 0;
+    for (int i = 0; i < 400; ++i) {
+        const RequestId id = rig.request();
+        small += rig.where(id) <= 6;
+        rig.end(id, Outcome::completed, 40);
+    }
+    EXPECT_GT(small, 0);
+    EXPECT_LT(small, 130) << "two small ones are drawn in 5 of 22, and by count it would be 200";
+}
+
 TEST(Fairness, InACrowdATenantFarBeyondItsShareGivesWay) {
     Settings s = one_of_many(1000);
     s.tenants = {{10}, {10}};
