--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -420,6 +420,18 @@
 
 // ---- Watches that fall silent -----------------------------------------------------------------------------
 
+// Nine calls are refused, and each is made again, all within so long.
+void expect_asked_again(NetRig& rig, std::chrono::seconds within) {
+    bool late = false;
+    asio::steady_timer clock(rig.io, within);
+    clock.async_wait([&](boost::system::error_code error) { late = !error; });
+    for (std::size_t i = 1; i <= 9; ++i) {
+        rig.discovery.last().respond("503 Down");
+        ASSERT_TRUE(rig.until([&] { return rig.discovery.requests() == i + 1; }));
+    }
+    EXPECT_FALSE(late);
+}
+
 TEST(Silence, AWatchIsOpenedAnewBeforeWhatItMissedCountsAsTold) {
     NetRig rig;
     rig.start();
@@ -460,14 +472,7 @@
 TEST(Silence, RefusalsDoNotMakeItDeafToTheReturn) {
     NetRig rig;
     rig.start();
-    bool late = false;
-    asio::steady_timer clock(rig.io, std::chrono::seconds(4));
-    clock.async_wait([&](boost::system::error_code error) { late = !error; });
-    for (std::size_t i = 1; i <= 9; ++i) {
-        rig.discovery.last().respond("503 Down");
-        ASSERT_TRUE(rig.until([&] { return rig.discovery.requests() == i + 1; }));
-    }
-    EXPECT_FALSE(late);
+    expect_asked_again(rig, std::chrono::seconds(4));
 }
 
 // A drain that was written to us as SIGHUP moves discovery, and that the loop has not come to: it has been
@@ -551,14 +556,7 @@
 TEST(AskedList, RefusalsDoNotMakeItDeafToTheReturn) {
     Asked rig;
     rig.start();
-    bool late = false;
-    asio::steady_timer clock(rig.io, std::chrono::seconds(10));
-    clock.async_wait([&](boost::system::error_code error) { late = !error; });
-    for (std::size_t i = 1; i <= 9; ++i) {
-        rig.discovery.last().respond("503 Down");
-        ASSERT_TRUE(rig.until([&] { return rig.discovery.requests() == i + 1; }));
-    }
-    EXPECT_FALSE(late);
+    expect_asked_again(rig, std::chrono::seconds(10));
 }
 
 // A fleet that starts makes one call each, not two: whose list is of the first version watches from there.
