--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -229,6 +229,7 @@
                     continue
                 self.record(f"server {self.name} runs {request_id}")
                 self.runs.append((request_id, request_class))
+                self.on_request(connection, request_id)
                 time.sleep(self.random.uniform(*self.work_s[request_class]))
                 body = f"answer to {request_id} by {self.name} ".encode().ljust(self.body_bytes, b".")
                 answer = answer_bytes("200 OK", body, ("Content-Type: text/plain",))
@@ -241,6 +242,9 @@
         """Whether the next request is turned away unseen (queue full)."""
         return False
 
+    def on_request(self, connection, request_id):
+        """Called when a request that runs has come whole."""
+
     def after_answer(self, connection, reader, answer, request_id):
         """Called after each 200 answer has been written."""
 
@@ -318,19 +322,21 @@
 # ---- the sidecar -------------------------------------------------------------------------------------------
 
 DEADLINE_MS = {"listen": 1500, "deposit": 1200, "annotate": 1500}
+EFFECT = {"listen": "repeatable", "deposit": "once", "annotate": "by_key"}
 
 
-def settings():
-    """The settings of the first message in WIRE, for one sidecar."""
-    def request_class(name, effect, credit, objective, window):
-        return {"name": name, "effect": effect, "credit": credit, "on-time-ms": float(objective),
-                "give-up-ms": float(DEADLINE_MS[name]), "late-value": 0.0, "dedup-scope": "all",
-                "dedup-window-ms": float(window), "stream": False}
+def class_settings(name, effect, credit, objective_ms, deadline_ms, window_ms, scope="all"):
+    return {"name": name, "effect": effect, "credit": credit, "on-time-ms": float(objective_ms),
+            "give-up-ms": float(deadline_ms), "late-value": 0.0, "dedup-scope": scope,
+            "dedup-window-ms": float(window_ms), "stream": False}
 
+
+def settings():
+    """The settings of the first message in WIRE (voices-archive), for one sidecar."""
     return {"azs": ["hall-a", "hall-b", "hall-c"], "my-zone": "hall-a", "my-number": 0, "siblings": 1,
-            "classes": [request_class("listen", "repeatable", 3.0, 400, 5000),
-                        request_class("deposit", "once", 5.0, 300, 5000),
-                        request_class("annotate", "by_key", 3.0, 500, 3000)],
+            "classes": [class_settings("listen", "repeatable", 3.0, 400, DEADLINE_MS["listen"], 5000),
+                        class_settings("deposit", "once", 5.0, 300, DEADLINE_MS["deposit"], 5000),
+                        class_settings("annotate", "by_key", 3.0, 500, DEADLINE_MS["annotate"], 3000)],
             "clients": {"marks-retry": True}, "membership-mode": "pushed", "models": ["standard-4"],
             "limits": {"connect-timeout-ms": 150.0, "idle-close-ms": 15000.0, "max-attempts": 4,
                        "may-cancel": True, "may-probe": True, "may-tell": True, "parallel-tries": False,
@@ -425,13 +431,14 @@
 # ---- clients -----------------------------------------------------------------------------------------------
 
 
-def request_head(request_id, request_class, time_left_ms, body_bytes=0):
-    lines = [f"{'GET' if request_class == 'listen' else 'POST'} /api HTTP/1.1", "Host: app.svc",
+def request_head(request_id, request_class, time_left_ms, body_bytes=0, effect=None):
+    effect = effect or EFFECT.get(request_class, "repeatable")
+    lines = [f"{'GET' if effect == 'repeatable' else 'POST'} /api HTTP/1.1", "Host: app.svc",
              f"X-Correlation-Id: {request_id}", f"X-Service-Class: {request_class}",
              f"X-Time-Left: {time_left_ms}m"]
-    if request_class == "annotate":
+    if effect == "by_key":
         lines.append(f"Idempotency-Key: key{request_id}")
-    if request_class != "listen":
+    if effect != "repeatable":
         lines.append(f"Content-Length: {body_bytes}")
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
