--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -3,11 +3,13 @@
 They follow PROTOCOL, DEPLOY and STANDING. Every address is a loopback address. Each case adds only the
 disruption that it tests.
 """
+import ctypes
 import json
 import os
 import pathlib
 import queue
 import random
+import resource
 import signal
 import socket
 import subprocess
@@ -17,6 +19,7 @@
 import time
 import tomllib
 
+PR_SET_PDEATHSIG = 1  # prctl(2)
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.setswitchinterval(0.0002)
 
@@ -380,13 +383,13 @@
         self.log = open(pathlib.Path(self.folder.name) / "log", "ab")
         sockets = self.limits["sockets"]
 
-        def limit_descriptors():
-            import resource
+        def before_start():
             resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
+            ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)  # it ends with the script, however that ends
 
         self.process = subprocess.Popen(["/bin/sh", "-c", self.command], cwd=ROOT, env=environment,
                                         stdin=subprocess.DEVNULL, stdout=self.log, stderr=self.log,
-                                        preexec_fn=limit_descriptors)
+                                        preexec_fn=before_start)
         self.record(f"sidecar starts: {self.command}")
         for _ in range(1500):
             if self.process.poll() is not None:
