Listener: a log line with what the connections do while accepting is paused

Whether the clients' sockets are used up, by whom, and why none of those connections can be closed could not be told apart from a busy process or a lost wake-up.

Change: ClientAcceptor reports each pause for lack of a socket; Listener writes one line a second at most with the number of connections in each state, those after a rejection and those with unread bytes apart. log_event() uses the quoting of base/log_line.hpp, which stood twice.

--- a/src/net/client_acceptor.cpp
+++ b/src/net/client_acceptor.cpp
@@ -61,6 +61,7 @@
     if (is_accepting_ || !acceptor_.is_open()) return;
     if (!socket_budget_.acquire(SocketPurpose::clients)) {
         is_waiting_for_socket_ = true;
+        handlers_.on_paused();
         schedule_retry();
         return;
     }
--- a/src/net/client_acceptor.hpp
+++ b/src/net/client_acceptor.hpp
@@ -40,6 +40,9 @@
         std::function<void(asio::ip::tcp::socket)> on_accepted;
         /// Called when the process has reached its descriptor limit. The callee should close a connection.
         std::function<void()> on_out_of_descriptors;
+        /// Called each time that accepting pauses because the socket budget has no socket for a client and no
+        /// connection can be closed.
+        std::function<void()> on_paused;
     };
 
     /// Starts to listen, but accepts no connection before start(). Blocks for up to kBindTimeoutMs while the
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -61,6 +61,31 @@
     socket_.cancel(ignored);
 }
 
+void ClientConnection::count_into(ClientConnectionCounts& counts) const {
+    switch (state_) {
+        case ConnectionState::awaiting_request:
+            if (reading_is_paused_)
+                ++(has_unread_data() ? counts.rejected_with_unread : counts.rejected);
+            else
+                ++(has_unread_data() ? counts.idle_with_unread : counts.idle);
+            return;
+        case ConnectionState::reading_request:
+            ++counts.reading_request;
+            return;
+        case ConnectionState::request_in_progress:
+            ++counts.request_in_progress;
+            return;
+        case ConnectionState::writing_response:
+            ++counts.writing_response;
+            return;
+        case ConnectionState::lingering_close:
+            ++counts.lingering_close;
+            return;
+        case ConnectionState::closed:
+            return;
+    }
+}
+
 bool ClientConnection::is_evictable(Millis now) const {
     const Millis age = now - idle_since_;
     switch (state_) {
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -83,6 +83,24 @@
     closed,
 };
 
+/// What the client connections of a listener do, as numbers of connections. Each connection counts once.
+struct ClientConnectionCounts {
+    std::size_t reading_request = 0;
+    std::size_t request_in_progress = 0;
+    std::size_t writing_response = 0;
+    std::size_t lingering_close = 0;
+    std::size_t idle = 0;                  ///< awaiting a request, with no unread bytes
+    std::size_t idle_with_unread = 0;      ///< awaiting a request whose first bytes were not read yet
+    std::size_t rejected = 0;              ///< in the pause after a rejection, with no unread bytes
+    std::size_t rejected_with_unread = 0;  ///< in the pause after a rejection, with the next request unread
+
+    /// @return the number of all open connections.
+    std::size_t total() const {
+        return reading_request + request_in_progress + writing_response + lingering_close + idle +
+               idle_with_unread + rejected + rejected_with_unread;
+    }
+};
+
 /// @return whether the state table of ClientConnection has this transition.
 constexpr bool is_allowed_transition(ConnectionState from, ConnectionState to) {
     switch (from) {
@@ -185,6 +203,8 @@
     /// @return whether the connection has received a valid request, whatever its outcome. GET /up does not
     ///         count.
     bool has_sent_request() const { return has_sent_request_; }
+    /// Adds the connection to the count of its state. A closed connection is not counted.
+    void count_into(ClientConnectionCounts& counts) const;
     /// @return whether the connection may be closed to free a socket.
     bool is_evictable(Millis now) const;
     /// @return whether the kernel holds received bytes that were not read. They may contain a request.
--- a/src/net/client_connection_pool.cpp
+++ b/src/net/client_connection_pool.cpp
@@ -50,6 +50,13 @@
     return longest_idle && evictable_count > too_young_count && close(*longest_idle);
 }
 
+ClientConnectionCounts ClientConnectionPool::counts() const {
+    ClientConnectionCounts counts;
+    for (const auto& connection : without_request_) connection->count_into(counts);
+    for (const auto& connection : with_request_) connection->count_into(counts);
+    return counts;
+}
+
 std::vector<std::shared_ptr<ClientConnection>> ClientConnectionPool::all() const {
     std::vector<std::shared_ptr<ClientConnection>> connections(without_request_.begin(),
                                                                without_request_.end());
--- a/src/net/client_connection_pool.hpp
+++ b/src/net/client_connection_pool.hpp
@@ -40,6 +40,8 @@
     bool close_evictable_connection(Millis now);
 
     std::size_t size() const { return without_request_.size() + with_request_.size(); }
+    /// @return how many connections are in each state. Costs up to one system call per connection.
+    ClientConnectionCounts counts() const;
     /// @return a copy of the current connections, so that the caller may close some while iterating.
     std::vector<std::shared_ptr<ClientConnection>> all() const;
 
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/failpoints.hpp"
+#include "base/log_line.hpp"
 
 namespace elmbay {
 
@@ -15,7 +16,8 @@
       handlers_(std::move(handlers)),
       acceptor_(io, listen, socket_budget, timers, clock,
                 {[this](asio::ip::tcp::socket socket) { add_connection(std::move(socket)); },
-                 [this] { connections_.close_evictable_connection(clock_.now()); }}),
+                 [this] { connections_.close_evictable_connection(clock_.now()); },
+                 [this] { log_accepting_paused(); }}),
       correlation_ids_(max_response_time),
       shutdown_(io, clock, timers, acceptor_, connections_),
       connection_context_{
@@ -49,6 +51,12 @@
     connection->start();
 }
 
+void Listener::log_accepting_paused() {
+    const Millis now = clock_.now();
+    if (accepting_paused_log_.is_due(now))
+        write_log_line(accepting_paused_log_.line(now, connections_.counts()));
+}
+
 bool Listener::has_capacity_for_request() const {
     return shutdown_.has_time_for_request() && requests_in_progress_.size() < socket_budget_.max_requests();
 }
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -20,6 +20,7 @@
 #include "net/correlation_id_registry.hpp"
 #include "net/graceful_shutdown.hpp"
 #include "net/listener_handlers.hpp"
+#include "net/log_events.hpp"
 
 namespace elmbay {
 
@@ -70,6 +71,7 @@
     static constexpr std::size_t kDiscardBufferBytes = std::size_t{64} * 1024;
 
     void add_connection(asio::ip::tcp::socket socket);
+    void log_accepting_paused();
 
     // ClientConnectionOwner
     bool is_draining() const override { return shutdown_.has_started(); }
@@ -89,6 +91,7 @@
     ClientAcceptor acceptor_;
     ClientConnectionPool connections_;
     CorrelationIdRegistry correlation_ids_;
+    AcceptingPausedLog accepting_paused_log_;
     GracefulShutdown shutdown_;
     std::array<char, kDiscardBufferBytes>
         discard_buffer_{};  // shared by all lingering closes; its content is never used
--- a/src/net/log_events.cpp
+++ b/src/net/log_events.cpp
@@ -1,36 +1,23 @@
 #include "net/log_events.hpp"
 
-#include <array>
-#include <cstdio>
-#include <iostream>
-#include <string>
+#include <fmt/format.h>
 
-namespace elmbay {
+#include "base/log_line.hpp"
 
-namespace {
+namespace elmbay {
 
-std::string quoted(std::string_view text) {
-    std::string result = "\"";
-    for (const char character : text) {
-        const auto byte = static_cast<unsigned char>(character);
-        const bool is_control = byte < 0x20 || byte == 0x7F;
-        if (is_control) {
-            std::array<char, sizeof "\\x00"> escaped{};
-            std::snprintf(escaped.data(), escaped.size(), "\\x%02x", static_cast<unsigned>(byte));
-            result += escaped.data();
-            continue;
-        }
-        if (character == '"' || character == '\\') result += '\\';
-        result += character;
-    }
-    return result + "\"";
+void log_event(std::string_view component, std::string_view event, std::string_view error) {
+    write_log_line(fmt::format("component={} event={} error={}", component, event, quoted_log_value(error)));
 }
 
-}  // namespace
-
-void log_event(std::string_view component, std::string_view event, std::string_view error) {
-    std::cerr << "elmbay: component=" << component << " event=" << event << " error=" << quoted(error)
-              << std::endl;
+std::string AcceptingPausedLog::line(Millis now, const ClientConnectionCounts& connections) {
+    last_logged_at_ = now;
+    return fmt::format(
+        "component=listener event=accepting_paused connections={} reading={} in_progress={} writing={} "
+        "lingering={} idle={} idle_unread={} rejected={} rejected_unread={}",
+        connections.total(), connections.reading_request, connections.request_in_progress,
+        connections.writing_response, connections.lingering_close, connections.idle,
+        connections.idle_with_unread, connections.rejected, connections.rejected_with_unread);
 }
 
 }  // namespace elmbay
