Listener: clients that repeat a rejected request no longer shut out all others

Cause: when the clients' sockets are used up, an idle connection is closed for the next client, but none with unread bytes. After a 4xx on a kept connection the next request stays unread for 250 ms, so a client that repeats itself at once is protected all of that time, and the idle connections of the others are closed for it.

Evidence: the line accepting_paused during the case: connections=76 ... in_progress=0 ... idle=0 ... rejected_unread=73, each second. So it is neither load, nor connections too young to be closed, nor a lost wake-up of the acceptor.

Change: connections whose latest request was rejected are a list of their own in ClientConnectionPool and are closed first, from 50 ms after the rejection on, unread bytes or not; these are read and discarded, so that the close is in good order. A valid request restores the usual protection. PROTOCOL: the next request was not read, its client sends it once more on a new connection, and there unread bytes protect it.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -17,7 +17,10 @@
 }  // namespace
 
 ClientConnection::ClientConnection(const ClientConnectionContext& context, tcp::socket socket)
-    : context_(context), socket_(std::move(socket)), idle_since_(context.clock.now()) {}
+    : context_(context),
+      socket_(std::move(socket)),
+      idle_since_(context.clock.now()),
+      reading_since_(idle_since_) {}
 
 void ClientConnection::start() {
     Error ignored;
@@ -31,6 +34,15 @@
     run_guarded([&] { write(std::move(response)); });
 }
 
+void ClientConnection::evict() {
+    const bool has_unread_request = is_idle() && has_unread_data();
+    if (has_unread_request) {
+        begin_lingering_close();
+        discard_input();
+    }
+    close();
+}
+
 void ClientConnection::close() {
     if (state_ == ConnectionState::closed) return;
     enter(ConnectionState::closed);
@@ -87,12 +99,15 @@
 }
 
 bool ClientConnection::is_evictable(Millis now) const {
-    const Millis age = now - idle_since_;
+    const Millis idle_time = now - idle_since_;
+    const bool latest_request_was_valid = has_sent_request_ && !latest_request_was_rejected_;
     switch (state_) {
         case ConnectionState::awaiting_request:
-            return (has_sent_request_ || age > kMinAgeWithoutBytes) && !has_unread_data();
+            if (latest_request_was_rejected_) return idle_time > kMinAgeAfterRejection;
+            return (has_sent_request_ || idle_time > kMinAgeWithoutBytes) && !has_unread_data();
         case ConnectionState::reading_request:
-            return !has_sent_request_ && age > kMinAgeWithoutRequest && !has_unread_data();
+            return !latest_request_was_valid && now - reading_since_ > kMinAgeWithoutRequest &&
+                   !has_unread_data();
         case ConnectionState::lingering_close:
             // Input beyond kMaxDiscardedBytes is not read: by then the response has been delivered, or the
             // client can't be distinguished from a flood. Below that, unread bytes forbid the close, because
@@ -252,18 +267,20 @@
         return;
     }
     enter(ConnectionState::awaiting_request);
+    has_sent_response_ = true;
+    idle_since_ = context_.clock.now();
     if (std::exchange(response_is_rejection_, false)) {
+        latest_request_was_rejected_ = true;
+        context_.owner.on_request_rejected(*this);
         reading_is_paused_ = true;
         set_timeout(kPauseAfterRejection);
         return;
     }
+    context_.owner.on_idle(*this);
     await_next_request();
 }
 
 void ClientConnection::await_next_request() {
-    has_sent_response_ = true;
-    idle_since_ = context_.clock.now();
-    context_.owner.on_idle(*this);
     set_timeout(kIdleTimeout);
     await_readable();
 }
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -43,15 +43,18 @@
     /// @return a request id that has not been used before.
     virtual RequestId next_request_id() = 0;
 
-    /// Reports the first request on the connection. Called once, after has_sent_request() has become true.
-    virtual void on_first_request(ClientConnection& connection) = 0;
+    /// Reports that the connection has received a valid request for the API. Called for each such request.
+    virtual void on_request_accepted(ClientConnection& connection) = 0;
+    /// Reports that a request on the connection was rejected, and that the connection is kept open.
+    virtual void on_request_rejected(ClientConnection& connection) = 0;
     /// Reports that a request is in progress. It stays so until Listener::respond() or
     /// on_client_disconnected().
     virtual void on_request_started(RequestId id, ClientConnection& connection) = 0;
     /// Reports that the client of a request in progress has disconnected or that the connection has cancelled
     /// the request.
     virtual void on_client_disconnected(RequestId id) = 0;
-    /// Reports that the connection has become idle and waits for its next request.
+    /// Reports that the connection has become idle and waits for its next request. Not called after a
+    /// rejection.
     virtual void on_idle(ClientConnection& connection) = 0;
     /// Reports that the connection is closed or that its socket was handed over for an upgrade. Called once.
     virtual void on_closed(ClientConnection& connection) = 0;
@@ -149,6 +152,10 @@
 /// reading. The event reports a disconnect at once. Because nothing is read, an idle connection can be closed
 /// without losing a request that has arrived but whose handler has not run.
 ///
+/// After a rejection the connection is kept, but its next request stays unread for kPauseAfterRejection. When
+/// sockets run out, such a connection is the first to be evicted, and unread bytes do not protect it: a
+/// client that repeats a rejected request has unread bytes during nearly all of the pause.
+///
 /// Owned by ClientConnectionPool and by the pending handlers of its socket and timer. Not thread-safe.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
 public:
@@ -172,6 +179,9 @@
     /// Time added to the longest client deadline as the limit for writing a response. A response that has not
     /// been written by then is of no use to its client.
     static constexpr Millis kResponseWriteMargin = 500;
+    /// Minimum time since a rejection after which a connection may be evicted when sockets run out. It bounds
+    /// how often clients that reconnect at once are accepted only to be rejected again.
+    static constexpr Millis kMinAgeAfterRejection = 50;
     /// Minimum age at which a connection without any received byte may be evicted when sockets run out.
     static constexpr Millis kMinAgeWithoutBytes = 50;
     /// Minimum age at which a connection without a complete request may be evicted when sockets run out.
@@ -187,6 +197,10 @@
     /// Writes the response to the request in progress.
     void respond(HttpResponse response);
 
+    /// Closes the connection to free its socket. Must be evictable. Unread bytes after a rejection are read
+    /// and discarded first, so that the close does not reset the connection.
+    void evict();
+
     /// Closes the socket at once. Used if the client expects no response or can't read one any more.
     void close();
 
@@ -197,12 +211,10 @@
     /// Stops reading the current request. If it is incomplete, it ends as too slow.
     void stop_reading();
 
-    bool is_idle() const { return state_ == ConnectionState::awaiting_request && !reading_is_paused_; }
+    /// @return whether the connection waits for its next request. True also in the pause after a rejection.
+    bool is_idle() const { return state_ == ConnectionState::awaiting_request; }
     /// @return when the connection became idle, or when it was accepted if it has had no response yet.
     Millis idle_since() const { return idle_since_; }
-    /// @return whether the connection has received a valid request, whatever its outcome. GET /up does not
-    ///         count.
-    bool has_sent_request() const { return has_sent_request_; }
     /// Adds the connection to the count of its state. A closed connection is not counted.
     void count_into(ClientConnectionCounts& counts) const;
     /// @return whether the connection may be closed to free a socket.
@@ -213,7 +225,9 @@
     ///         disconnect too: a disconnect may follow them, and they cancel the request in any case.
     bool has_client_disconnected();
 
-    /// The position in the list of ClientConnectionPool. Only that class uses it.
+    /// The list of ClientConnectionPool that contains this connection, and the position in it. Only that
+    /// class uses them.
+    List* list = nullptr;
     List::iterator list_position;
 
 private:
@@ -277,15 +291,17 @@
     std::optional<RequestProblem> problem_;            // why the request that is being read is rejected
     RequestId request_id_ = 0;                         // the request in progress; 0 if there is none
     ConnectionState state_ = ConnectionState::awaiting_request;
-    bool has_sent_request_ = false;
-    bool has_sent_response_ = false;    // a response was written, and the connection was kept alive
-    bool is_waiting_readable_ = false;  // an asynchronous wait on the socket is outstanding
+    bool has_sent_request_ = false;             // a valid request was received, whatever its outcome
+    bool latest_request_was_rejected_ = false;  // GET /up does not count, neither here nor above
+    bool has_sent_response_ = false;            // a response was written, and the connection was kept alive
+    bool is_waiting_readable_ = false;          // an asynchronous wait on the socket is outstanding
     bool closes_after_response_ = false;
     bool read_timed_out_ = false;  // the time limit of the request that is being read has expired
     bool response_is_rejection_ = false;
     bool reading_is_paused_ = false;   // in awaiting_request, after a rejection: input is left unread
     std::size_t discarded_bytes_ = 0;  // bytes that lingering_close has read and discarded
     Millis idle_since_;
+    Millis reading_since_;  // start of the time limit of the request that is being read
     TimerQueue::Key timer_{};
 };
 
--- a/src/net/client_connection_reading.cpp
+++ b/src/net/client_connection_reading.cpp
@@ -52,7 +52,10 @@
     enter(ConnectionState::reading_request);
     read_timed_out_ = false;
     // The time limit of the first request runs since the accept.
-    if (has_sent_response_) set_timeout(kRequestReadTimeout);
+    if (has_sent_response_) {
+        reading_since_ = context_.clock.now();
+        set_timeout(kRequestReadTimeout);
+    }
     buffer_.emplace(kMaxReadAhead);
     parser_.emplace();
     parser_->body_limit(kMaxRequestBodyBytes);
@@ -171,9 +174,6 @@
         respond_to_health_check();
         return;
     }
-    // A health check does not count as a request: a client that sends only health checks is not an active
-    // client of the application.
-    if (!std::exchange(has_sent_request_, true)) context_.owner.on_first_request(*this);
     // The same id may belong to another client's request. Two requests with one id must not be in progress at
     // the same time.
     if (!context_.owner.register_correlation_id(header_value(request, "X-Correlation-Id"))) {
@@ -190,6 +190,11 @@
 }
 
 void ClientConnection::start_request(HttpRequest request) {
+    // A health check does not get here: a client that sends only health checks is not an active client of the
+    // application.
+    has_sent_request_ = true;
+    latest_request_was_rejected_ = false;
+    context_.owner.on_request_accepted(*this);
     const bool has_capacity = context_.owner.has_capacity_for_request();
     const RequestArrivalInfo arrival{kernel_queue_time(socket_), has_capacity};
     if (context_.handlers.is_upgrade && context_.handlers.is_upgrade(request)) {
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -65,7 +65,13 @@
     return correlation_ids_.insert(id, clock_.now());
 }
 
-void Listener::on_first_request(ClientConnection& connection) { connections_.on_first_request(connection); }
+void Listener::on_request_accepted(ClientConnection& connection) {
+    connections_.on_request_accepted(connection);
+}
+
+void Listener::on_request_rejected(ClientConnection& connection) {
+    connections_.on_request_rejected(connection);
+}
 
 void Listener::on_request_started(RequestId id, ClientConnection& connection) {
     requests_in_progress_[id] = &connection;
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -79,7 +79,8 @@
     bool has_capacity_for_request() const override;
     bool register_correlation_id(std::string_view id) override;
     RequestId next_request_id() override { return next_request_id_++; }
-    void on_first_request(ClientConnection& connection) override;
+    void on_request_accepted(ClientConnection& connection) override;
+    void on_request_rejected(ClientConnection& connection) override;
     void on_request_started(RequestId id, ClientConnection& connection) override;
     void on_client_disconnected(RequestId id) override;
     void on_idle(ClientConnection& connection) override;
--- a/tests/net/socket_limit_test.cpp
+++ b/tests/net/socket_limit_test.cpp
@@ -5,9 +5,13 @@
 #include <algorithm>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
+#include "net/listener.hpp"
 #include "support/sidecar_fixture.hpp"
 
 namespace elmbay::test {
@@ -245,5 +249,136 @@
         << "the next client must still be accepted";
 }
 
+// ---- Clients that repeat what was rejected
+// -----------------------------------------------------------------
+
+// A listener without a sidecar. Its handlers answer each valid request at once; a request is invalid if its
+// target contains "invalid". The test uses sockets of the same budget to make the listener close connections.
+struct ListenerFixture {
+    static constexpr std::size_t kSockets = 100;
+    static constexpr std::size_t kClientSockets = 33;  // the clients' share of kSockets
+    // One of the clients' sockets is reserved for the connection that is accepted next.
+    static constexpr std::size_t kClients = kClientSockets - 1;
+
+    asio::io_context io{1};
+    const Clock clock;
+    TimerQueue timers{io, clock};
+    SocketBudget socket_budget{kSockets};
+    ByteBudget byte_budget{1U << 20U};
+    std::unique_ptr<Listener> listener;
+
+    ListenerFixture() {
+        Listener::Handlers handlers;
+        handlers.validate = [](const RequestHead& head) -> std::optional<RequestProblem> {
+            const std::string_view target(head.target().data(), head.target().size());
+            if (target.find("invalid") == std::string_view::npos) return std::nullopt;
+            return RequestProblem{http::status::bad_request, "invalid\n"};
+        };
+        handlers.on_request = [this](RequestId id, const HttpRequest&, RequestArrivalInfo) {
+            listener->respond(id, HttpResponse(http::status::ok, 11));
+        };
+        handlers.on_client_disconnected = [](RequestId) {};
+        handlers.is_ready = [] { return true; };
+        listener = std::make_unique<Listener>(io, ephemeral_loopback_endpoint(), socket_budget, byte_budget,
+                                              timers, clock, 3000, handlers);
+    }
+
+    static std::string invalid_request() { return "GET /api?invalid HTTP/1.1\r\nHost: h\r\n\r\n"; }
+
+    std::shared_ptr<Peer> connect_client() {
+        tcp::socket socket(io);
+        socket.connect(listener->local_endpoint());
+        auto peer = std::make_shared<Peer>(std::move(socket));
+        peer->read();
+        return peer;
+    }
+
+    // Connects `count` clients and sends `text` on each connection.
+    std::vector<std::shared_ptr<Peer>> connect_clients(std::size_t count, const std::string& text) {
+        std::vector<std::shared_ptr<Peer>> clients;
+        for (std::size_t i = 0; i < count; ++i) {
+            clients.push_back(connect_client());
+            clients.back()->send(text);
+        }
+        return clients;
+    }
+
+    // Waits until each client has received one response.
+    void expect_responses(const std::vector<std::shared_ptr<Peer>>& clients, const std::string& status) {
+        ASSERT_TRUE(run_until(io, [&] {
+            return std::all_of(clients.begin(), clients.end(),
+                               [](const auto& client) { return client->response_count() > 0; });
+        }));
+        for (const auto& client : clients) EXPECT_EQ(status_of(*client), status);
+    }
+
+    // Lets `time` pass without running a handler, so that nothing is read and no timer expires meanwhile.
+    void block_event_loop_for(Millis time) const { block_event_loop_until(clock, clock.now() + time); }
+
+    std::size_t closed_count(const std::vector<std::shared_ptr<Peer>>& clients) const {
+        return static_cast<std::size_t>(
+            std::count_if(clients.begin(), clients.end(), [](const auto& client) { return client->closed; }));
+    }
+};
+
+// Clients that repeat a rejected request at once had unread bytes nearly all of the time, which protected
+// them from eviction. They kept all sockets, and no other client was accepted any more (review/2).
+TEST(SocketLimit, EvictsClientsThatRepeatRejectedRequestsBeforeOthers) {
+    ListenerFixture fixture;
+    const std::size_t repeating_count = ListenerFixture::kClients - 1;
+    const auto repeating = fixture.connect_clients(repeating_count, ListenerFixture::invalid_request());
+    fixture.expect_responses(repeating, "HTTP/1.1 400");
+    const auto served = fixture.connect_clients(1, SidecarFixture::request("safe"));
+    fixture.expect_responses(served, "HTTP/1.1 200");
+    for (const auto& client : repeating) client->send(ListenerFixture::invalid_request());
+
+    fixture.block_event_loop_for(ClientConnection::kMinAgeAfterRejection + 10);
+    for (std::size_t i = 0; i < repeating_count; ++i) {
+        EXPECT_TRUE(fixture.socket_budget.acquire(SocketPurpose::clients)) << i;
+    }
+    EXPECT_TRUE(run_until(fixture.io, [&] { return fixture.closed_count(repeating) == repeating_count; }));
+    for (const auto& client : repeating) {
+        EXPECT_EQ(client->close_error, asio::error::eof) << "the rejection must not be lost by a reset";
+    }
+    EXPECT_FALSE(served.front()->closed);
+}
+
+// A connection that was rejected only a moment ago is not evicted, and meanwhile neither are the clients
+// whose requests were valid, though they are idle.
+TEST(SocketLimit, KeepsServedClientsWhileOthersHaveJustBeenRejected) {
+    ListenerFixture fixture;
+    const std::size_t rejected_count = ListenerFixture::kClients - 1;
+    const auto rejected = fixture.connect_clients(rejected_count, ListenerFixture::invalid_request());
+    fixture.expect_responses(rejected, "HTTP/1.1 400");
+    const auto served = fixture.connect_clients(1, SidecarFixture::request("safe"));
+    fixture.expect_responses(served, "HTTP/1.1 200");
+    // Succeeds only if the machine was so slow that some rejection has reached its minimum age.
+    fixture.socket_budget.acquire(SocketPurpose::clients);
+    run_ready_handlers(fixture.io);
+    EXPECT_FALSE(served.front()->closed);
+}
+
+// A valid request restores the protection of unread bytes: they may be the client's next valid request.
+TEST(SocketLimit, KeepsUnreadRequestOfClientThatWasServedAfterRejection) {
+    ListenerFixture fixture;
+    const auto clients =
+        fixture.connect_clients(ListenerFixture::kClients, ListenerFixture::invalid_request());
+    fixture.expect_responses(clients, "HTTP/1.1 400");
+    for (const auto& client : clients) {
+        client->received.clear();
+        client->send(SidecarFixture::request("safe"));
+    }
+    fixture.expect_responses(clients, "HTTP/1.1 200");
+    run_ready_handlers(fixture.io);
+    for (const auto& client : clients) client->send(SidecarFixture::request("safe"));
+
+    fixture.block_event_loop_for(ClientConnection::kMinAgeAfterRejection + 10);
+    EXPECT_FALSE(fixture.socket_budget.acquire(SocketPurpose::clients));
+    EXPECT_TRUE(run_until(fixture.io, [&] {
+        return std::all_of(clients.begin(), clients.end(),
+                           [](const auto& client) { return client->response_count() == 2; });
+    }));
+}
+
 }  // namespace
 }  // namespace elmbay::test
