Listener: clients that repeat GET /up no longer shut out new connections

Cause: an idle connection without a request for the API is spared for 50 ms when sockets run out, as a new client is about to send its first request. The time began anew with each response to GET /up, so a connection that is checked more often was spared for good.

Change: only a connection that has had no response counts as new.

Test: SocketLimit.EvictsClientsThatRepeatHealthChecksBeforeOthers failed on the code before, 5 of 5 times, and passes now, as do the other 12 of SocketLimit.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -104,7 +104,7 @@
     switch (state_) {
         case ConnectionState::awaiting_request:
             if (latest_request_was_rejected_) return idle_time > kMinAgeAfterRejection;
-            return (has_sent_request_ || idle_time > kMinAgeWithoutBytes) && !has_unread_data();
+            return (has_sent_response_ || idle_time > kMinAgeWithoutBytes) && !has_unread_data();
         case ConnectionState::reading_request:
             return !latest_request_was_valid && now - reading_since_ > kMinAgeWithoutRequest &&
                    !has_unread_data();
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -182,7 +182,8 @@
     /// Minimum time since a rejection after which a connection may be evicted when sockets run out. It bounds
     /// how often clients that reconnect at once are accepted only to be rejected again.
     static constexpr Millis kMinAgeAfterRejection = 50;
-    /// Minimum age at which a connection without any received byte may be evicted when sockets run out.
+    /// Minimum age at which a connection without any received byte may be evicted when sockets run out. A
+    /// connection that has had a response, also one to GET /up, has no such protection.
     static constexpr Millis kMinAgeWithoutBytes = 50;
     /// Minimum age at which a connection without a complete request may be evicted when sockets run out.
     static constexpr Millis kMinAgeWithoutRequest = 500;
--- a/tests/net/socket_limit_test.cpp
+++ b/tests/net/socket_limit_test.cpp
@@ -343,6 +343,30 @@
     EXPECT_FALSE(served.front()->closed);
 }
 
+// Clients that repeat GET /up were protected like new connections, for 50 ms after each response, and so for
+// good. They kept all sockets, and no other client was accepted any more.
+TEST(SocketLimit, EvictsClientsThatRepeatHealthChecksBeforeOthers) {
+    ListenerFixture fixture;
+    const std::size_t checking_count = ListenerFixture::kClients - 1;
+    const std::string health_check = "GET /up HTTP/1.1\r\nHost: h\r\n\r\n";
+    const auto checking = fixture.connect_clients(checking_count, health_check);
+    fixture.expect_responses(checking, "HTTP/1.1 200");
+    const auto served = fixture.connect_clients(1, SidecarFixture::request("safe"));
+    fixture.expect_responses(served, "HTTP/1.1 200");
+    for (const auto& client : checking) {
+        client->received.clear();
+        client->send(health_check);
+    }
+    fixture.expect_responses(checking, "HTTP/1.1 200");
+    run_ready_handlers(fixture.io);  // the listener's handlers of the end of each write
+
+    for (std::size_t i = 0; i < checking_count; ++i) {
+        EXPECT_TRUE(fixture.socket_budget.acquire(SocketPurpose::clients)) << i;
+    }
+    EXPECT_TRUE(run_until(fixture.io, [&] { return fixture.closed_count(checking) == checking_count; }));
+    EXPECT_FALSE(served.front()->closed);
+}
+
 // A connection that was rejected only a moment ago is not evicted, and meanwhile neither are the clients
 // whose requests were valid, though they are idle.
 TEST(SocketLimit, KeepsServedClientsWhileOthersHaveJustBeenRejected) {
