Listener: requests that stall on used connections no longer hold all client sockets

Cause: half a request is evicted after 0.5 s only on a connection without a valid request before; on any other it held its socket for 2.5 s, and idle connections of other clients were closed for it.

Change: while no socket is free, a request incomplete for 0.5 s on a used connection is rejected with 408 and Connection: close; its connection is evictable after that, which wakes the acceptor. Connections of served clients that are idle are kept meanwhile. With sockets to spare nothing changes. ClientConnectionPool::close_evictable_connection is split into its steps.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -100,14 +100,12 @@
 
 bool ClientConnection::is_evictable(Millis now) const {
     const Millis idle_time = now - idle_since_;
-    const bool latest_request_was_valid = has_sent_request_ && !latest_request_was_rejected_;
     switch (state_) {
         case ConnectionState::awaiting_request:
             if (latest_request_was_rejected_) return idle_time > kMinAgeAfterRejection;
             return (has_sent_response_ || idle_time > kMinAgeWithoutBytes) && !has_unread_data();
         case ConnectionState::reading_request:
-            return !latest_request_was_valid && now - reading_since_ > kMinAgeWithoutRequest &&
-                   !has_unread_data();
+            return !latest_request_was_valid() && has_incomplete_request(now);
         case ConnectionState::lingering_close:
             // Input beyond kMaxDiscardedBytes is not read: by then the response has been delivered, or the
             // client can't be distinguished from a flood. Below that, unread bytes forbid the close, because
@@ -118,6 +116,15 @@
     }
 }
 
+bool ClientConnection::is_stalled(Millis now) const {
+    return state_ == ConnectionState::reading_request && latest_request_was_valid() &&
+           has_incomplete_request(now);
+}
+
+bool ClientConnection::has_incomplete_request(Millis now) const {
+    return now - reading_since_ > kMinAgeWithoutRequest && !has_unread_data();
+}
+
 bool ClientConnection::has_unread_data() const {
     Error error;
     return socket_.available(error) > 0;
@@ -305,6 +312,7 @@
         return;
     }
     enter(ConnectionState::lingering_close);
+    context_.owner.on_idle(*this);
     reading_is_paused_ = false;
     release_message_memory();
     socket_.non_blocking(true, error);
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -53,8 +53,8 @@
     /// Reports that the client of a request in progress has disconnected or that the connection has cancelled
     /// the request.
     virtual void on_client_disconnected(RequestId id) = 0;
-    /// Reports that the connection has become idle and waits for its next request. Not called after a
-    /// rejection.
+    /// Reports that the connection waits for its next request, or for its client to close it, and that it may
+    /// be closed to free a socket. Not called after a rejection.
     virtual void on_idle(ClientConnection& connection) = 0;
     /// Reports that the connection is closed or that its socket was handed over for an upgrade. Called once.
     virtual void on_closed(ClientConnection& connection) = 0;
@@ -185,7 +185,8 @@
     /// Minimum age at which a connection without any received byte may be evicted when sockets run out. A
     /// connection that has had a response, also one to GET /up, has no such protection.
     static constexpr Millis kMinAgeWithoutBytes = 50;
-    /// Minimum age at which a connection without a complete request may be evicted when sockets run out.
+    /// Minimum age at which a connection without a complete request may be evicted when sockets run out, or
+    /// its request be rejected if its latest request was valid.
     static constexpr Millis kMinAgeWithoutRequest = 500;
     /// Size limit of the parser's input buffer. It bounds endless chunk size lines and trailers.
     static constexpr std::size_t kMaxReadAhead = 2 * kMaxHeadBytes;
@@ -220,6 +221,10 @@
     void count_into(ClientConnectionCounts& counts) const;
     /// @return whether the connection may be closed to free a socket.
     bool is_evictable(Millis now) const;
+    /// @return whether a request on a connection whose latest request was valid has been incomplete for
+    ///         kMinAgeWithoutRequest. Such a connection is not evictable, because its client may only be slow
+    ///         and must get a response; stop_reading() gives it one.
+    bool is_stalled(Millis now) const;
     /// @return whether the kernel holds received bytes that were not read. They may contain a request.
     bool has_unread_data() const;
     /// @return whether the client of the request in progress has disconnected. Unread bytes count as a
@@ -235,6 +240,9 @@
     using Error = boost::system::error_code;
 
     void enter(ConnectionState state);
+    bool latest_request_was_valid() const { return has_sent_request_ && !latest_request_was_rejected_; }
+    // Returns whether the request that is being read is incomplete for kMinAgeWithoutRequest.
+    bool has_incomplete_request(Millis now) const;
 
     // ---- timer and socket events
     void set_timeout(Millis timeout);
--- a/src/net/client_connection_pool.cpp
+++ b/src/net/client_connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "net/client_connection_pool.hpp"
 
+#include <algorithm>
+
 namespace elmbay {
 
 namespace {
@@ -45,17 +47,38 @@
         if (connection->is_evictable(now)) return evict(*connection);
         if (connection->is_idle() && !connection->has_unread_data()) ++too_young_count;
     }
+    if (close_unused(now)) return true;
+    // The rejected request's connection is evictable once its response is written, so an idle one is kept.
+    if (reject_stalled_request(now)) return false;
+    return close_longest_idle(now, too_young_count);
+}
+
+bool ClientConnectionPool::close_unused(Millis now) {
+    for (const auto& connection : with_request_) {
+        const bool is_in_use = connection->is_idle() && now - connection->idle_since() <= kMinUnusedIdleTime;
+        if (!is_in_use && connection->is_evictable(now)) return evict(*connection);
+    }
+    return false;
+}
+
+bool ClientConnectionPool::reject_stalled_request(Millis now) {
+    const auto found = std::find_if(with_request_.begin(), with_request_.end(),
+                                    [now](const auto& connection) { return connection->is_stalled(now); });
+    if (found == with_request_.end()) return false;
+    (*found)->stop_reading();
+    return true;
+}
+
+bool ClientConnectionPool::close_longest_idle(Millis now, std::size_t too_young_count) {
     std::size_t evictable_count = 0;
     std::shared_ptr<ClientConnection> longest_idle;
     for (const auto& connection : with_request_) {
         if (!connection->is_evictable(now)) continue;
-        const bool is_unused = now - connection->idle_since() > kMinUnusedIdleTime;
-        if (!connection->is_idle() || is_unused) return evict(*connection);
         if (!longest_idle) longest_idle = connection;
         ++evictable_count;
-        if (evictable_count > too_young_count) break;
+        if (evictable_count > too_young_count) return evict(*longest_idle);
     }
-    return longest_idle && evictable_count > too_young_count && evict(*longest_idle);
+    return false;
 }
 
 ClientConnectionCounts ClientConnectionPool::counts() const {
--- a/tests/net/socket_limit_test.cpp
+++ b/tests/net/socket_limit_test.cpp
@@ -367,6 +367,37 @@
     EXPECT_FALSE(served.front()->closed);
 }
 
+// Clients that stop in the middle of a request on a connection that was served before were protected for 2.5
+// s. They kept all sockets meanwhile, and the idle connections of others were closed for them.
+TEST(SocketLimit, RejectsRequestThatStallsOnServedConnectionWhenSocketsRunOut) {
+    ListenerFixture fixture;
+    const std::size_t stalled_count = ListenerFixture::kClients - 1;
+    const std::string request = SidecarFixture::request("safe");
+    std::vector<std::shared_ptr<Peer>> stalled;
+    for (std::size_t i = 0; i < stalled_count; ++i) {
+        stalled.push_back(fixture.connect_clients(1, SidecarFixture::request("safe")).front());
+    }
+    fixture.expect_responses(stalled, "HTTP/1.1 200");
+    const auto served = fixture.connect_clients(1, SidecarFixture::request("safe"));
+    fixture.expect_responses(served, "HTTP/1.1 200");
+    for (const auto& client : stalled) {
+        client->received.clear();
+        client->send(request.substr(0, request.size() / 2));
+    }
+    run_ready_handlers(fixture.io);
+
+    fixture.block_event_loop_for(ClientConnection::kMinAgeWithoutRequest + 10);
+    EXPECT_FALSE(fixture.socket_budget.acquire(SocketPurpose::clients));
+    const auto is_answered = [](const auto& client) { return client->response_count() > 0; };
+    ASSERT_TRUE(
+        run_until(fixture.io, [&] { return std::any_of(stalled.begin(), stalled.end(), is_answered); }));
+    run_ready_handlers(fixture.io);
+    EXPECT_EQ(std::count_if(stalled.begin(), stalled.end(), is_answered), 1);
+    EXPECT_EQ(status_of(**std::find_if(stalled.begin(), stalled.end(), is_answered)), "HTTP/1.1 408");
+    EXPECT_TRUE(fixture.socket_budget.acquire(SocketPurpose::clients));
+    EXPECT_FALSE(served.front()->closed);
+}
+
 // A connection that was rejected only a moment ago is not evicted, and meanwhile neither are the clients
 // whose requests were valid, though they are idle.
 TEST(SocketLimit, KeepsServedClientsWhileOthersHaveJustBeenRejected) {
