Discovery: calls to earlier addresses stay open until a later one has sent the list

Cause: switch_endpoint() closed the call in progress at each SIGHUP, a working watch as well as a call that had waited for its turn, and began anew at the end of the service's queue. Nothing bounded how often.

Change: the calls to earlier addresses stay open until a later call has received the whole list, or they end; what they receive is applied. Three are kept at most, the oldest first. They open no watch, and do not touch version, retry delay and state of the current call. A whole list of an earlier address is ignored once a later one has sent its own.

Tests: Reload.AppliesDrainFromOldWatchUntilNewAddressResponds, AppliesListOfEarlierCallDespiteFurtherReloads and KeepsFewCallsOpenAfterManyReloads failed on the code before, 5 of 5 times; IgnoresListOfEarlierAddressAfterListOfLaterOne fails without the check that it guards. Reload.SwitchesDiscoveryAndKeepsOldListMeanwhile asserted the close of the old watch at once, which is the fault: it now asserts that the watch is open until the new list has come, and closed after it. 55 of 55 end-to-end and 89 of 89 tests of tests/net pass.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -36,7 +36,8 @@
 }  // namespace
 
 /// One connection to the discovery service. It fetches the whole list first, if needed, then opens a watch
-/// and reads its lines incrementally.
+/// and reads its lines incrementally. A call to an earlier address opens no watch any more, and changes
+/// nothing of the state from which the current call and its successors begin.
 class Discovery::Call : public std::enable_shared_from_this<Call> {
 public:
     explicit Call(Discovery& owner) : owner_(owner), socket_(owner.io_) {}
@@ -67,6 +68,14 @@
         if (parser_ && has_unread_data()) read_available();
     }
 
+    /// Reads and applies the changes that the kernel has received, then closes the call. To be called when a
+    /// later call has received the whole list. A whole list of this call is older, and is not applied.
+    void supersede() {
+        is_superseded_ = true;
+        read_pending();
+        close();
+    }
+
     void close() {
         if (is_closed_) return;
         is_closed_ = true;
@@ -166,6 +175,10 @@
         const bool can_reuse_connection = parser_->keep_alive();
         const std::string list = std::exchange(unparsed_text_, {});  // frees the text's memory on return
         if (!apply_list(list)) return;
+        if (!is_current()) {
+            end_call(DiscoveryError::connection_closed);
+            return;
+        }
         owner_.needs_whole_list_ = false;
         if (can_reuse_connection)
             send_request();
@@ -208,17 +221,24 @@
             endpoint_list = parse_endpoint_list(text);
         } catch (const ConfigError& error) {
             log_event("discovery", "list_rejected", error.what());
-            owner_.needs_whole_list_ = true;
+            if (is_current()) owner_.needs_whole_list_ = true;
             return end_call(DiscoveryError::invalid_list);
         }
+        const bool is_complete = endpoint_list.is_complete;
+        if (is_superseded_ && is_complete) return end_call(DiscoveryError::connection_closed);
         const Millis now = owner_.clock_.now();
         endpoint_list.list_age_bound = now - std::exchange(owner_.last_message_at_, now);
-        owner_.list_version_ = endpoint_list.revision;
-        owner_.next_delay_ = owner_.backoff_.initial;
+        if (is_current()) {
+            owner_.list_version_ = endpoint_list.revision;
+            owner_.next_delay_ = owner_.backoff_.initial;
+        }
         owner_.on_endpoint_list_(std::move(endpoint_list));
+        if (is_complete) owner_.close_calls_before(*this);
         return !is_closed_;
     }
 
+    bool is_current() const { return owner_.call_.get() == this; }
+
     void set_timeout(Millis timeout) {
         owner_.timers_.cancel(timer_);
         timer_ = owner_.timers_.set(owner_.clock_.now() + timeout, [self = shared_from_this()] {
@@ -231,7 +251,7 @@
     bool end_call(DiscoveryError error) {
         if (is_closed_) return false;
         close();
-        owner_.on_call_ended(error);
+        owner_.on_call_ended(*this, error);
         return false;
     }
 
@@ -244,6 +264,7 @@
     std::string unparsed_text_;  // text of the whole list, or the incomplete line of the watch
     bool is_watch_ = true;
     bool is_closed_ = false;
+    bool is_superseded_ = false;  // a later call has received the whole list
     bool response_has_begun_ = false;
     TimerQueue::Key timer_{};
 };
@@ -276,13 +297,17 @@
     is_watching_ = false;
     timers_.cancel(retry_timer_);
     if (const auto call = std::exchange(call_, nullptr)) call->close();
+    for (const auto& call : std::exchange(previous_calls_, {})) call->close();
 }
 
-bool Discovery::has_unread_data() const { return call_ && call_->has_unread_data(); }
+bool Discovery::has_unread_data() const {
+    if (call_ && call_->has_unread_data()) return true;
+    return std::any_of(previous_calls_.begin(), previous_calls_.end(),
+                       [](const auto& call) { return call->has_unread_data(); });
+}
 
 void Discovery::switch_endpoint(const Endpoint& endpoint) {
-    if (const auto call = call_) call->read_pending();
-    stop();
+    keep_current_call();
     endpoint_ = endpoint;
     // Each service numbers its versions independently, so the current version is meaningless at the new one.
     needs_whole_list_ = true;
@@ -291,17 +316,46 @@
     watch();
 }
 
+// Makes the current call the latest of the previous ones, or closes it if there are enough of these.
+void Discovery::keep_current_call() {
+    if (const auto call = call_) call->read_pending();  // may end the call
+    const auto call = std::exchange(call_, nullptr);
+    if (!call) return;
+    if (previous_calls_.size() < kMaxPreviousCalls)
+        previous_calls_.push_back(call);
+    else
+        call->close();
+}
+
+// Closes the calls that began before `call`, which has received the whole list. A change that the service has
+// written to this process must take effect, so the changes that they have received are applied first.
+void Discovery::close_calls_before(const Call& call) {
+    const auto is_call = [&call](const auto& previous) { return previous.get() == &call; };
+    const auto end = std::find_if(previous_calls_.begin(), previous_calls_.end(), is_call);
+    const std::vector<std::shared_ptr<Call>> older(previous_calls_.begin(), end);
+    previous_calls_.erase(previous_calls_.begin(), end);
+    for (const auto& previous : older) previous->supersede();
+}
+
 void Discovery::begin_call() {
     if (!socket_budget_.acquire(SocketPurpose::servers)) {
-        on_call_ended(DiscoveryError::no_socket);
+        retry_after(DiscoveryError::no_socket);
         return;
     }
     call_ = std::make_shared<Call>(*this);
     call_->start();
 }
 
-void Discovery::on_call_ended(std::error_code error) {
+void Discovery::on_call_ended(const Call& call, std::error_code error) {
+    if (call_.get() != &call) {
+        std::erase_if(previous_calls_, [&call](const auto& previous) { return previous.get() == &call; });
+        return;
+    }
     call_.reset();
+    retry_after(error);
+}
+
+void Discovery::retry_after(std::error_code error) {
     if (!is_watching_) return;
     if (next_delay_ >= backoff_.max) log_event("discovery", "call_failed", error.message());
     std::uniform_real_distribution<> jitter(1 - kJitter, 1 + kJitter);
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <limits>
@@ -11,6 +12,7 @@
 #include <optional>
 #include <random>
 #include <system_error>
+#include <vector>
 
 #include "base/sockets.hpp"
 #include "base/timing.hpp"
@@ -20,12 +22,16 @@
 
 /// Keeps a watch open at the discovery service and passes on each list or change that the service sends.
 ///
-/// Runs one call at a time, on one connection: it fetches the whole list if there is none yet, then opens the
-/// watch. When a call ends, another one starts after a delay with jitter. A message that can't be parsed is
-/// discarded completely, and the whole list is fetched again; meanwhile the current list stays in force.
+/// A call is one connection: it fetches the whole list if there is none yet, then opens the watch. When a
+/// call ends, another one starts after a delay with jitter. A message that can't be parsed is discarded
+/// completely, and the whole list is fetched again; meanwhile the current list stays in force.
 ///
-/// Not thread-safe: everything runs on the event loop's thread. Holds at most one descriptor of
-/// SocketPurpose::servers and the text of one list or one line.
+/// There is one current call. When the service's address changes, the calls to earlier addresses stay open
+/// until a later call has received the whole list, and what they receive is applied. So a change of address
+/// never makes the list older than it would be otherwise, however often the address changes.
+///
+/// Not thread-safe: everything runs on the event loop's thread. Holds at most kMaxPreviousCalls + 1
+/// descriptors of SocketPurpose::servers, and for each the text of one list or one line.
 class Discovery {
 public:
     /// Deadline for receiving changes that were missed, from the moment a watch falls silent or the service
@@ -41,6 +47,10 @@
     /// agent accepts calls without responding, and responds when discovery is back.
     static constexpr Millis kConnectTimeout = 500;
     static constexpr Millis kPushedResponseTimeout = 1500;
+    /// Maximum number of calls to earlier addresses that stay open. If there are more, the oldest ones are
+    /// kept, because a polled service responds to them first. An address that was replaced closes its
+    /// connections after 1.5 s (LATER).
+    static constexpr std::size_t kMaxPreviousCalls = 3;
     /// Longest time that a polled service queues a call. One service serves all sidecars and handles their
     /// calls in turn. It rejects a call at once if the wait would be longer (docs/design/endings.md).
     static constexpr Millis kMaxQueueTime = 2000;
@@ -97,19 +107,22 @@
 
     /// Keeps a watch open from now on, until stop().
     void watch();
-    /// Closes the current call, if any. The current list stays in force.
+    /// Closes all calls. The current list stays in force.
     void stop();
     /// @return whether the kernel holds bytes from the service that were not read.
     bool has_unread_data() const;
     /// Switches to another service address at once, fetches the whole list there, and resets the retry delay.
-    /// Data that the old service has already sent is applied first.
+    /// Data that the old service has already sent is applied first. The call to it stays open, see above.
     void switch_endpoint(const Endpoint& endpoint);
 
 private:
     class Call;
 
     void begin_call();
-    void on_call_ended(std::error_code error);
+    void on_call_ended(const Call& call, std::error_code error);
+    void retry_after(std::error_code error);
+    void keep_current_call();
+    void close_calls_before(const Call& call);
 
     asio::io_context& io_;
     Endpoint endpoint_;
@@ -122,7 +135,8 @@
     const Backoff backoff_;
     std::mt19937_64 random_;
     std::function<void(EndpointList)> on_endpoint_list_;
-    std::shared_ptr<Call> call_;  // null between two calls
+    std::shared_ptr<Call> call_;                         // the current call; null between two calls
+    std::vector<std::shared_ptr<Call>> previous_calls_;  // to earlier addresses, the oldest first
     TimerQueue::Key retry_timer_{};
     Millis next_delay_;  // delay before the next call, without jitter
     // When the service last sent a list, a change or a heartbeat; minus infinity if not yet in this run.
