--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -200,7 +200,6 @@
     void on_connected();
     void on_connect_failed();
     void await_readable();
-    void close_unexpectedly_readable();
     void on_written(Error error);
     void read_response();
     void read_available();
--- a/tests/net/socket_limit_test.cpp
+++ b/tests/net/socket_limit_test.cpp
@@ -312,7 +312,7 @@
         for (const auto& client : clients) EXPECT_EQ(status_of(*client), status);
     }
 
-    // Lets `time` pass without running a handler, so that nothing is read and no timer expires meanwhile.
+    // Blocks the thread for `time`. The event loop runs no handler, so nothing is read and no timer expires.
     void block_event_loop_for(Millis time) const { block_event_loop_until(clock, clock.now() + time); }
 
     std::size_t closed_count(const std::vector<std::shared_ptr<Peer>>& clients) const {
@@ -388,18 +388,18 @@
 
     fixture.block_event_loop_for(ClientConnection::kMinAgeWithoutRequest + 10);
     EXPECT_FALSE(fixture.socket_budget.acquire(SocketPurpose::clients));
-    const auto is_answered = [](const auto& client) { return client->response_count() > 0; };
+    const auto has_response = [](const auto& client) { return client->response_count() > 0; };
     ASSERT_TRUE(
-        run_until(fixture.io, [&] { return std::any_of(stalled.begin(), stalled.end(), is_answered); }));
+        run_until(fixture.io, [&] { return std::any_of(stalled.begin(), stalled.end(), has_response); }));
     run_ready_handlers(fixture.io);
-    EXPECT_EQ(std::count_if(stalled.begin(), stalled.end(), is_answered), 1);
-    EXPECT_EQ(status_of(**std::find_if(stalled.begin(), stalled.end(), is_answered)), "HTTP/1.1 408");
+    EXPECT_EQ(std::count_if(stalled.begin(), stalled.end(), has_response), 1);
+    EXPECT_EQ(status_of(**std::find_if(stalled.begin(), stalled.end(), has_response)), "HTTP/1.1 408");
     EXPECT_TRUE(fixture.socket_budget.acquire(SocketPurpose::clients));
     EXPECT_FALSE(served.front()->closed);
 }
 
-// A connection that was rejected only a moment ago is not evicted, and meanwhile neither are the clients
-// whose requests were valid, though they are idle.
+// A connection is not evicted right after a rejection. Until it can be, the idle connections of clients whose
+// requests were valid are not evicted in its place.
 TEST(SocketLimit, KeepsServedClientsWhileOthersHaveJustBeenRejected) {
     ListenerFixture fixture;
     const std::size_t rejected_count = ListenerFixture::kClients - 1;
