--- a/tests/end_to_end/reload_test.cpp
+++ b/tests/end_to_end/reload_test.cpp
@@ -107,6 +107,26 @@
     EXPECT_EQ(server_of_next_request(fixture), 1U);
 }
 
+// A reload names an address where nobody listens. The old watch must stay in use while calls to it fail.
+TEST(Reload, KeepsOldWatchWhileNewAddressRefusesConnections) {
+    TwoServersFixture fixture;
+    fixture.start();
+    fixture.begin_watch();
+    fixture.handle_pending_events();
+    {
+        FakeServer closed_discovery(fixture.io);
+        fixture.config["discovery"] = closed_discovery.address();
+    }
+    fixture.reload();
+    fixture.handle_pending_events();  // the first call is refused
+    EXPECT_FALSE(fixture.discovery.last_connection().closed);
+    Json changes = fixture.targets();
+    changes[0]["state"] = "leaving";
+    fixture.send_chunk(fixture.watch_line(changes, false));
+    fixture.handle_pending_events();
+    EXPECT_EQ(server_of_next_request(fixture), 1U);
+}
+
 // Each reload gave up the call that was waiting for its response. With reloads at shorter intervals than the
 // response takes, no list arrived any more (review/3).
 TEST(Reload, AppliesListOfEarlierCallDespiteFurtherReloads) {
