--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -330,11 +330,11 @@
 // Closes the calls that began before `call`, which has received the whole list. A change that the service has
 // written to this process must take effect, so the changes that they have received are applied first.
 void Discovery::close_calls_before(const Call& call) {
-    const auto is_call = [&call](const auto& previous) { return previous.get() == &call; };
-    const auto end = std::find_if(previous_calls_.begin(), previous_calls_.end(), is_call);
-    const std::vector<std::shared_ptr<Call>> older(previous_calls_.begin(), end);
-    previous_calls_.erase(previous_calls_.begin(), end);
-    for (const auto& previous : older) previous->supersede();
+    while (!previous_calls_.empty() && previous_calls_.front().get() != &call) {
+        const std::shared_ptr<Call> oldest = previous_calls_.front();
+        previous_calls_.erase(previous_calls_.begin());
+        oldest->supersede();
+    }
 }
 
 void Discovery::begin_call() {
