--- a/review/lib-2/late_copy.cpp
+++ b/review/lib-2/late_copy.cpp
@@ -1,4 +1,5 @@
-// Case: a second copy of an answer comes some milliseconds late, and the next caller on that connection gets it.
+// Case: a second copy of an answer comes some milliseconds late, and the next caller on that connection gets
+// it.
 #include <condition_variable>
 #include <deque>
 
@@ -11,9 +12,9 @@
 constexpr int kServers = 10;
 constexpr int kClients = 20;
 constexpr double kDuration = 30000;
-constexpr double kMeanPause = 40;       // between a client's requests, in ms
-constexpr double kCopyShare = 0.05;     // share of answers that a second copy follows
-constexpr double kOneWayDelay = 0.6;    // between sidecar and servers, in ms; BRIEF: 0.42 to 0.78 ms
+constexpr double kMeanPause = 40;     // between a client's requests, in ms
+constexpr double kCopyShare = 0.05;   // share of answers that a second copy follows
+constexpr double kOneWayDelay = 0.6;  // between sidecar and servers, in ms; BRIEF: 0.42 to 0.78 ms
 std::atomic<int> copies = 0;
 
 // One direction of a connection over the network between the halls: passes bytes on after kOneWayDelay.
@@ -101,8 +102,8 @@
         const string name = "s-" + std::to_string(i);
         acceptors.push_back(std::make_unique<Acceptor>([name](Connection c) { serve(std::move(c), name); }));
         const int server_port = acceptors.back()->port();
-        acceptors.push_back(std::make_unique<Acceptor>(
-            [server_port](Connection c) { pass_on(std::move(c), server_port); }));
+        acceptors.push_back(
+            std::make_unique<Acceptor>([server_port](Connection c) { pass_on(std::move(c), server_port); }));
         targets.push_back({name, acceptors.back()->port()});
     }
     Discovery discovery("discovery", targets, 41);
--- a/review/lib-2/memory_limit.cpp
+++ b/review/lib-2/memory_limit.cpp
@@ -8,11 +8,11 @@
 namespace {
 
 constexpr int kServers = 8;
-constexpr int kClients = 330;         // LATER: at most a third of the descriptors, 341 of 1,024
+constexpr int kClients = 330;  // LATER: at most a third of the descriptors, 341 of 1,024
 constexpr int kRounds = 6;
-constexpr double kWriteTime = 1000;   // of a client that writes slowly, in ms
-constexpr int kMemoryMb = 32;         // LATER: 32 to 192 MB
-constexpr int kSockets = 1024;        // LATER: 256 to 1,024 descriptors
+constexpr double kWriteTime = 1000;  // of a client that writes slowly, in ms
+constexpr int kMemoryMb = 32;        // LATER: 32 to 192 MB
+constexpr int kSockets = 1024;       // LATER: 256 to 1,024 descriptors
 constexpr std::size_t kPiece = 0x2000;
 constexpr std::size_t kBody = 65536;  // PROTOCOL: bodies hold at most 64 KiB
 
@@ -85,9 +85,9 @@
     for (std::thread& client : clients) client.join();
     is_over = true;
     meter.join();
-    record.say("%d requests%s; %d answered, %d closed; most resident memory: %ld kB of %d kB",
-               sent.load(), with_trouble() ? " written slowly" : "", answered.load(), closed.load(),
-               most.load(), kMemoryMb * 1024);
+    record.say("%d requests%s; %d answered, %d closed; most resident memory: %ld kB of %d kB", sent.load(),
+               with_trouble() ? " written slowly" : "", answered.load(), closed.load(), most.load(),
+               kMemoryMb * 1024);
     if (sidecar.has_ended()) end_test(sidecar, 2, "the sidecar has ended");
     if (most > kMemoryMb * 1024) end_test(sidecar, 1, "broken: over memory_mb, where the platform kills it");
     end_test(sidecar, 0, "held");
--- a/review/lib-2/old_address.cpp
+++ b/review/lib-2/old_address.cpp
@@ -6,9 +6,10 @@
 namespace {
 
 constexpr int kServers = 6;
-constexpr double kHeldUp = 120;           // STANDING: a sidecar is held up for up to 0.15 s
-constexpr double kToldAfter = 4000;       // LATER: counts as told 4 s after SIGHUP
-constexpr double kDrainGrace = 500 + 50;  // stop-sending-within-ms; each time limit on sockets is 50 ms longer
+constexpr double kHeldUp = 120;      // STANDING: a sidecar is held up for up to 0.15 s
+constexpr double kToldAfter = 4000;  // LATER: counts as told 4 s after SIGHUP
+constexpr double kDrainGrace =
+    500 + 50;  // stop-sending-within-ms; each time limit on sockets is 50 ms longer
 std::mutex mutex;
 std::vector<double> received_by_draining;
 
@@ -67,7 +68,8 @@
     sidecar.start();
     if (!sidecar.wait_until_ready()) end_test(sidecar, 2, "the sidecar is not ready");
     send_requests(sidecar, now_ms() + 3000);
-    if (old_agent.watches() == 0 || received_after(0) == 0) end_test(sidecar, 2, "no watch, or no request to s-0");
+    if (old_agent.watches() == 0 || received_after(0) == 0)
+        end_test(sidecar, 2, "no watch, or no request to s-0");
 
     // A new configuration: discovery moves. The new agent knows that s-0 drains; the old one is behind.
     std::thread requests([&] { send_requests(sidecar, now_ms() + 9000); });
--- a/review/lib-2/old_known_list.cpp
+++ b/review/lib-2/old_known_list.cpp
@@ -6,8 +6,9 @@
 namespace {
 
 constexpr int kServers = 6;
-constexpr double kOutage = 8000;          // STANDING, herd+mass: discovery is down for 8 s
-constexpr double kDrainGrace = 500 + 50;  // stop-sending-within-ms; each time limit on sockets is 50 ms longer
+constexpr double kOutage = 8000;  // STANDING, herd+mass: discovery is down for 8 s
+constexpr double kDrainGrace =
+    500 + 50;  // stop-sending-within-ms; each time limit on sockets is 50 ms longer
 std::mutex mutex;
 std::vector<std::pair<double, string>> received_by_draining;
 
@@ -72,8 +73,9 @@
     agent.change("s-0", "leaving");
     const double told_at = now_ms();
     send_requests(sidecar, told_at + 2000);
-    record.say("first process: %d requests to s-0 before it was told of the drain, %d later than %.0f ms after",
-               before, received_after(told_at + kDrainGrace), kDrainGrace);
+    record.say(
+        "first process: %d requests to s-0 before it was told of the drain, %d later than %.0f ms after",
+        before, received_after(told_at + kDrainGrace), kDrainGrace);
 
     const double outage_at = now_ms();
     if (with_trouble()) {
--- a/review/lib-2/stand_ins.hpp
+++ b/review/lib-2/stand_ins.hpp
@@ -281,8 +281,9 @@
     for (std::size_t i = 0; i < targets.size(); ++i) {
         const Target& target = targets[i];
         text << (i ? "," : "") << "{\"uid\":\"" << target.uid << "\",\"endpoint\":\"127.0.0.1:" << target.port
-             << "\",\"az\":\"" << "abc"[i % 3] << "\",\"model\":\"standard-4\",\"pod_group\":0,\"state\":\""
-             << target.state << "\",\"capacity_hint\":" << target.capacity_hint << ",\"boot_ms\":0}";
+             << "\",\"az\":\""
+             << "abc"[i % 3] << "\",\"model\":\"standard-4\",\"pod_group\":0,\"state\":\"" << target.state
+             << "\",\"capacity_hint\":" << target.capacity_hint << ",\"boot_ms\":0}";
     }
     text << "]}";
     return text.str();
@@ -344,9 +345,8 @@
             const bool is_watch = call.first_line.find("stream=1") != string::npos;
             const auto index = call.first_line.find("index=");
             if (is_watch) {
-                return serve_watch(connection, index == string::npos
-                                                   ? 0
-                                                   : std::atoi(call.first_line.c_str() + index + 6));
+                return serve_watch(
+                    connection, index == string::npos ? 0 : std::atoi(call.first_line.c_str() + index + 6));
             }
             ++held_calls_;
             while (holds_answers_) sleep_ms(1);
@@ -362,8 +362,8 @@
         {
             const std::lock_guard lock(mutex_);
             connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-            // The first line holds what changed after the caller's version, or the whole list. Nothing is sent if
-            // nothing changed.
+            // The first line holds what changed after the caller's version, or the whole list. Nothing is
+            // sent if nothing changed.
             const string list = json_list(revision_, true, targets_);
             const bool is_current = index == revision_;
             record.line("%s opens a watch from version %d: %s", name_.c_str(), index,
@@ -516,8 +516,9 @@
     void write_config() const {
         const string next = config_path() + ".next";
         std::ofstream file(next);
-        file << "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" << port_ << "\",\"discovery\":\"127.0.0.1:"
-             << discovery_port_ << "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":"
+        file << "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" << port_
+             << "\",\"discovery\":\"127.0.0.1:" << discovery_port_
+             << "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":"
              << limits_.memory_mb << ",\"sockets\":" << limits_.sockets << "},\"known\":" << known_
              << ",\"settings\":" << settings_json(mode_) << "}\n";
         file.close();
--- a/review/lib-2/stopped_clients.cpp
+++ b/review/lib-2/stopped_clients.cpp
@@ -1,5 +1,5 @@
-// Case: hundreds of clients stop in the middle of a request and stay. Usual clients' requests wait in the accept
-// queue and get no answer in time.
+// Case: hundreds of clients stop in the middle of a request and stay. Usual clients' requests wait in the
+// accept queue and get no answer in time.
 #include "stand_ins.hpp"
 
 using namespace review;
@@ -58,7 +58,8 @@
         targets.push_back({name, acceptors.back()->port()});
     }
     Discovery discovery("discovery", targets, 41);
-    Sidecar sidecar(arguments[1], discovery.port(), discovery.whole_list(), {.memory_mb = 64, .sockets = 256});
+    Sidecar sidecar(arguments[1], discovery.port(), discovery.whole_list(),
+                    {.memory_mb = 64, .sockets = 256});
     sidecar.start();
     if (!sidecar.wait_until_ready()) end_test(sidecar, 2, "the sidecar is not ready");
 
@@ -98,8 +99,8 @@
         sleep_ms(begin + kWaveInterval - now_ms());
     }
     for (std::thread& thread : threads) thread.join();
-    record.say("%d requests: %d answered in time, %d closed unread, %d lost", kWaves * kRequests, in_time.load(),
-               closed.load(), lost.load());
+    record.say("%d requests: %d answered in time, %d closed unread, %d lost", kWaves * kRequests,
+               in_time.load(), closed.load(), lost.load());
     if (sidecar.has_ended()) end_test(sidecar, 2, "the sidecar has ended");
     if (lost > 0) end_test(sidecar, 1, "broken: requests got no final answer in time");
     end_test(sidecar, 0, "held");
