--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,8 +3,8 @@
 # Needs the build of the deploy file and of review/build-2.sh.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$folder/../.." && pwd) || exit 2
-[ -x "$root/build/elmbay" ] && [ -x "$root/build/review-2/late_copy" ] || { echo "not built" >&2; exit 2; }
-"$root/build/review-2/late_copy" "$root" "$folder"
+[ -x "$root/build/elmbay" ] && [ -x "$root/build/review-2/stopped_clients" ] || { echo "not built" >&2; exit 2; }
+"$root/build/review-2/stopped_clients" "$root" "$folder"
 code=$?
 [ $code -le 1 ] || code=2
 exit $code
