--- a/review/lib-2/stand_ins.hpp
+++ b/review/lib-2/stand_ins.hpp
@@ -52,7 +52,9 @@
     if (ms > 0) std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(ms));
 }
 inline double random_between(double low, double high) {
-    static thread_local std::mt19937_64 engine(std::random_device{}());
+    // Each thread has a seed of its own, by the order in which threads come here first.
+    static std::atomic<unsigned> threads = 0;
+    static thread_local std::mt19937_64 engine(++threads);
     return std::uniform_real_distribution<>(low, high)(engine);
 }
 inline double random_interval(double mean) { return -mean * std::log(1 - random_between(0, 1)); }
