Answer 408 to a request that is being written at a planned restart

Cause: ClientConnection::on_read_timed_out closed a used connection without a response while the port was closed. A client may send a request again without a response only if nothing of it was read (PROTOCOL). Change: 408 and a lingering close on used connections as well.

--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -32,9 +32,6 @@
 
     /// @return whether a graceful shutdown has begun. Then each connection closes after its next response.
     virtual bool is_draining() const = 0;
-    /// @return whether the port is closed. Then a client can send an incomplete request again to another
-    ///         process.
-    virtual bool has_stopped_accepting() const = 0;
     /// @return whether one more request may be in progress. If not, the request must be rejected at once.
     virtual bool has_capacity_for_request() const = 0;
     /// Records the correlation id of a request.
@@ -112,7 +109,7 @@
                    to == ConnectionState::lingering_close || to == ConnectionState::closed;
         case ConnectionState::reading_request:
             return to == ConnectionState::request_in_progress || to == ConnectionState::writing_response ||
-                   to == ConnectionState::lingering_close || to == ConnectionState::closed;
+                   to == ConnectionState::closed;
         case ConnectionState::request_in_progress:
             return to == ConnectionState::writing_response || to == ConnectionState::closed;
         case ConnectionState::writing_response:
@@ -136,7 +133,6 @@
 /// | | the socket fails; evicted to free a socket | closed |
 /// | reading_request | the request is complete and valid | request_in_progress |
 /// | | the request is invalid, too large or too slow; GET /up; an exception | writing_response |
-/// | | the request is too slow, the port is closed, and the connection was used before | lingering_close |
 /// | | the client disconnects; handed over for an upgrade; evicted to free a socket | closed |
 /// | request_in_progress | respond(); more bytes arrive: 400; an exception | writing_response |
 /// | | the client disconnects | closed |
--- a/src/net/client_connection_reading.cpp
+++ b/src/net/client_connection_reading.cpp
@@ -119,14 +119,9 @@
         reject(kMalformedRequest, AfterResponse::close);
 }
 
-// On a connection that was used before, closes without a response during a shutdown: the client then sends
-// its request again on another connection. Otherwise responds with 408.
-void ClientConnection::on_read_timed_out() {
-    if (context_.owner.has_stopped_accepting() && has_sent_request_)
-        begin_lingering_close();
-    else
-        reject(kRequestTimeout, AfterResponse::close);
-}
+// Responds on a used connection as well, also during a shutdown. A client sends a request again without a
+// response only if the sidecar had read nothing of it, and part of this one has been read.
+void ClientConnection::on_read_timed_out() { reject(kRequestTimeout, AfterResponse::close); }
 
 std::optional<RequestProblem> ClientConnection::find_problem(const HttpRequest& head) const {
     const std::string_view path = path_of(head);
--- a/src/net/graceful_shutdown.hpp
+++ b/src/net/graceful_shutdown.hpp
@@ -43,7 +43,6 @@
     void start(std::function<void()> done);
 
     bool has_started() const { return has_started_; }
-    bool has_stopped_accepting() const { return has_stopped_accepting_; }
     /// @return whether a request that is complete now can get its response before the process is killed.
     bool has_time_for_request() const { return clock_.now() < request_cutoff_; }
 
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -75,7 +75,6 @@
 
     // ClientConnectionOwner
     bool is_draining() const override { return shutdown_.has_started(); }
-    bool has_stopped_accepting() const override { return shutdown_.has_stopped_accepting(); }
     bool has_capacity_for_request() const override;
     bool register_correlation_id(std::string_view id) override;
     RequestId next_request_id() override { return next_request_id_++; }
