Keep the accept queue short while clients stop in mid-request or stay silent

Cause: when sockets run out, half a request was protected for 500 ms and a silent connection for 50 ms, both from the accept. 75 x 0.5 s and 600 x 0.05 s of 76 sockets make a queue of 0.9 s, which is the wait that was seen; the log line accepting_paused shows who holds the sockets. Change: the age of a silent connection includes its time in the accept queue, by the kernel's tcpi_last_data_recv. Half a request is rejected when sockets run out once no byte has come for 150 ms, or after 500 ms as before; a new connection gets 408 for it where it was closed without a response.

--- a/src/base/socket_state.hpp
+++ b/src/base/socket_state.hpp
@@ -2,11 +2,16 @@
 /// Determines the state of a connection without reading data from it.
 #pragma once
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <cstddef>
+#include <optional>
 
 #include "base/stream_socket.hpp"
+#include "base/timing.hpp"
 
 namespace elmbay {
 
@@ -34,4 +39,21 @@
     return SocketState::interrupted;
 }
 
+/// Returns the time since the kernel received the last byte on a TCP connection or, if there was none, since
+/// the connection was established, at the cost of one system call. It includes the time that the connection
+/// waited in the accept queue and that received bytes waited to be read.
+/// @param socket the descriptor of the socket
+/// @return the time in milliseconds, with the resolution of the kernel's tick (tcp(7), tcp_info); nothing if
+///         the kernel does not tell
+inline std::optional<Millis> time_since_last_receive(int socket) {
+    // Older kernels return a shorter structure.
+    constexpr std::size_t kNeededBytes =
+        offsetof(tcp_info, tcpi_last_data_recv) + sizeof(tcp_info::tcpi_last_data_recv);
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    const int result = ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size);
+    if (result != 0 || size < kNeededBytes) return {};
+    return info.tcpi_last_data_recv;
+}
+
 }  // namespace elmbay
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "net/client_connection.hpp"
 
+#include <algorithm>
 #include <boost/asio/error.hpp>
 #include <cassert>
 #include <utility>
@@ -20,6 +21,7 @@
     : context_(context),
       socket_(std::move(socket)),
       idle_since_(context.clock.now()),
+      last_receive_(idle_since_ - time_since_last_receive(socket_.native_handle()).value_or(0)),
       reading_since_(idle_since_) {}
 
 void ClientConnection::start() {
@@ -98,14 +100,12 @@
     }
 }
 
-bool ClientConnection::is_evictable(Millis now) const {
-    const Millis idle_time = now - idle_since_;
+bool ClientConnection::is_evictable(Millis now) {
     switch (state_) {
         case ConnectionState::awaiting_request:
-            if (latest_request_was_rejected_) return idle_time > kMinAgeAfterRejection;
-            return (has_sent_response_ || idle_time > kMinAgeWithoutBytes) && !has_unread_data();
-        case ConnectionState::reading_request:
-            return !latest_request_was_valid() && has_incomplete_request(now);
+            if (latest_request_was_rejected_) return now - idle_since_ > kMinAgeAfterRejection;
+            return (has_sent_response_ || has_been_silent_for(kMinAgeWithoutBytes, now)) &&
+                   !has_unread_data();
         case ConnectionState::lingering_close:
             // Input beyond kMaxDiscardedBytes is not read: by then the response has been delivered, or the
             // client can't be distinguished from a flood. Below that, unread bytes forbid the close, because
@@ -116,13 +116,22 @@
     }
 }
 
-bool ClientConnection::is_stalled(Millis now) const {
-    return state_ == ConnectionState::reading_request && latest_request_was_valid() &&
-           has_incomplete_request(now);
+bool ClientConnection::is_stalled(Millis now) {
+    if (state_ != ConnectionState::reading_request || read_timed_out_) return false;
+    const bool may_be_rejected =
+        now - reading_since_ > kMinAgeWithoutRequest || has_been_silent_for(kMinStallTime, now);
+    return may_be_rejected && !has_unread_data();
 }
 
-bool ClientConnection::has_incomplete_request(Millis now) const {
-    return now - reading_since_ > kMinAgeWithoutRequest && !has_unread_data();
+// Asks the kernel only if the time of the last byte that is known so far is long enough ago: the pool calls
+// this for many connections each time that it needs a socket.
+bool ClientConnection::has_been_silent_for(Millis time, Millis now) {
+    if (now - last_receive_ < time) return false;
+    const auto silence = time_since_last_receive(socket_.native_handle());
+    // Without the kernel only the time of the accept is known, but not when bytes of a request arrived.
+    if (!silence) return state_ == ConnectionState::awaiting_request;
+    last_receive_ = std::max(last_receive_, now - *silence);
+    return now - last_receive_ >= time;
 }
 
 bool ClientConnection::has_unread_data() const {
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -133,7 +133,7 @@
 /// | | the socket fails; evicted to free a socket | closed |
 /// | reading_request | the request is complete and valid | request_in_progress |
 /// | | the request is invalid, too large or too slow; GET /up; an exception | writing_response |
-/// | | the client disconnects; handed over for an upgrade; evicted to free a socket | closed |
+/// | | the client disconnects; handed over for an upgrade | closed |
 /// | request_in_progress | respond(); more bytes arrive: 400; an exception | writing_response |
 /// | | the client disconnects | closed |
 /// | writing_response | the response is written, and the connection is kept alive | awaiting_request |
@@ -178,11 +178,17 @@
     /// Minimum time since a rejection after which a connection may be evicted when sockets run out. It bounds
     /// how often clients that reconnect at once are accepted only to be rejected again.
     static constexpr Millis kMinAgeAfterRejection = 50;
-    /// Minimum age at which a connection without any received byte may be evicted when sockets run out. A
-    /// connection that has had a response, also one to GET /up, has no such protection.
+    /// Minimum age at which a connection without any received byte may be evicted when sockets run out. The
+    /// age includes the time in the accept queue, so that silent clients do not delay the clients behind them
+    /// there. A connection that has had a response, also one to GET /up, has no such protection.
     static constexpr Millis kMinAgeWithoutBytes = 50;
-    /// Minimum age at which a connection without a complete request may be evicted when sockets run out, or
-    /// its request be rejected if its latest request was valid.
+    /// Time since the last received byte after which an incomplete request may be rejected when sockets run
+    /// out. It bounds the time that other clients wait in the accept queue for clients that stop in the
+    /// middle of a request: with it a request of any deadline has its response within the 500 ms after its
+    /// deadline that STANDING allows.
+    static constexpr Millis kMinStallTime = 150;
+    /// Time after which an incomplete request may be rejected when sockets run out, even if its bytes keep
+    /// arriving.
     static constexpr Millis kMinAgeWithoutRequest = 500;
     /// Size limit of the parser's input buffer. It bounds endless chunk size lines and trailers.
     static constexpr std::size_t kMaxReadAhead = 2 * kMaxHeadBytes;
@@ -216,11 +222,12 @@
     /// Adds the connection to the count of its state. A closed connection is not counted.
     void count_into(ClientConnectionCounts& counts) const;
     /// @return whether the connection may be closed to free a socket.
-    bool is_evictable(Millis now) const;
-    /// @return whether a request on a connection whose latest request was valid has been incomplete for
-    ///         kMinAgeWithoutRequest. Such a connection is not evictable, because its client may only be slow
-    ///         and must get a response; stop_reading() gives it one.
-    bool is_stalled(Millis now) const;
+    bool is_evictable(Millis now);
+    /// @return whether a request has been incomplete for kMinAgeWithoutRequest, or its client has sent
+    /// nothing
+    ///         for kMinStallTime. Such a connection is not evictable, because its client may only be slow and
+    ///         must get a response; stop_reading() gives it one.
+    bool is_stalled(Millis now);
     /// @return whether the kernel holds received bytes that were not read. They may contain a request.
     bool has_unread_data() const;
     /// @return whether the client of the request in progress has disconnected. Unread bytes count as a
@@ -236,9 +243,8 @@
     using Error = boost::system::error_code;
 
     void enter(ConnectionState state);
-    bool latest_request_was_valid() const { return has_sent_request_ && !latest_request_was_rejected_; }
-    // Returns whether the request that is being read is incomplete for kMinAgeWithoutRequest.
-    bool has_incomplete_request(Millis now) const;
+    // Returns whether the client has sent nothing for `time`. Unread bytes count as sent when they arrived.
+    bool has_been_silent_for(Millis time, Millis now);
 
     // ---- timer and socket events
     void set_timeout(Millis timeout);
@@ -306,6 +312,7 @@
     bool reading_is_paused_ = false;   // in awaiting_request, after a rejection: input is left unread
     std::size_t discarded_bytes_ = 0;  // bytes that lingering_close has read and discarded
     Millis idle_since_;
+    Millis last_receive_;   // when the client last sent a byte or connected; may have been later
     Millis reading_since_;  // start of the time limit of the request that is being read
     TimerQueue::Key timer_{};
 };
--- a/src/net/client_connection_pool.cpp
+++ b/src/net/client_connection_pool.cpp
@@ -1,7 +1,5 @@
 #include "net/client_connection_pool.hpp"
 
-#include <algorithm>
-
 namespace elmbay {
 
 namespace {
@@ -62,11 +60,14 @@
 }
 
 bool ClientConnectionPool::reject_stalled_request(Millis now) {
-    const auto found = std::find_if(with_request_.begin(), with_request_.end(),
-                                    [now](const auto& connection) { return connection->is_stalled(now); });
-    if (found == with_request_.end()) return false;
-    (*found)->stop_reading();
-    return true;
+    for (ClientConnection::List* connections : {&rejected_, &without_request_, &with_request_}) {
+        for (const auto& connection : *connections) {
+            if (!connection->is_stalled(now)) continue;
+            connection->stop_reading();
+            return true;
+        }
+    }
+    return false;
 }
 
 bool ClientConnectionPool::close_longest_idle(Millis now, std::size_t too_young_count) {
--- a/src/net/client_connection_pool.hpp
+++ b/src/net/client_connection_pool.hpp
@@ -41,8 +41,8 @@
     /// request is evicted only after kMinUnusedIdleTime. So a flood of new connections or of invalid requests
     /// does not evict the active clients.
     ///
-    /// If there is none of the first two, but a connection is stalled in the middle of a request after a
-    /// valid one, that request is rejected with 408 instead, and its connection becomes evictable soon.
+    /// If there is none of the first two, but a connection is stalled in the middle of a request, that
+    /// request is rejected with 408 instead, and its connection becomes evictable soon.
     /// @return whether a connection was closed.
     bool close_evictable_connection(Millis now);
 
@@ -53,13 +53,13 @@
     std::vector<std::shared_ptr<ClientConnection>> all() const;
 
 private:
-    // The next three act on connections whose latest request was valid. They return whether they found one.
-    // Closes one that lingers, or that has been idle for kMinUnusedIdleTime.
+    // The next three return whether they found a connection.
+    // Closes one that lingers, or that has been idle for kMinUnusedIdleTime, after a valid request.
     bool close_unused(Millis now);
-    // Rejects the request of one that is stalled.
+    // Rejects a request that is stalled, on any connection.
     bool reject_stalled_request(Millis now);
-    // Closes the longest idle one if more of them are evictable than `too_young_count`, the number of other
-    // connections that become evictable soon.
+    // Closes the longest idle one of those whose latest request was valid, if more of them are evictable than
+    // `too_young_count`, the number of other connections that become evictable soon.
     bool close_longest_idle(Millis now, std::size_t too_young_count);
     static void move_to_end(ClientConnection::List& list, ClientConnection& connection);
 
--- a/src/net/client_connection_reading.cpp
+++ b/src/net/client_connection_reading.cpp
@@ -1,12 +1,10 @@
 // The request reading part of ClientConnection: from the first byte until the request is passed to the
 // handlers.
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-
 #include <boost/asio/error.hpp>
 #include <cstddef>
 #include <utility>
 
+#include "base/socket_state.hpp"
 #include "net/client_connection.hpp"
 #include "net/client_responses.hpp"
 
@@ -14,23 +12,7 @@
 
 namespace {
 
-using tcp = asio::ip::tcp;
-
 constexpr const char* kHealthCheckPath = "/up";
-// Size of tcp_info up to and including tcpi_last_data_recv. Older kernels return a shorter structure.
-constexpr std::size_t kTcpInfoBytes =
-    offsetof(tcp_info, tcpi_last_data_recv) + sizeof(tcp_info::tcpi_last_data_recv);
-
-// Returns the milliseconds since the kernel received the last byte, with the resolution of the kernel's tick
-// (tcp(7), tcp_info); 0 if unknown. This time counts against the client's deadline: the connection may have
-// waited in the accept queue, or this process may have had no CPU core.
-Millis kernel_queue_time(tcp::socket& socket) {
-    tcp_info info{};
-    socklen_t size = sizeof info;
-    const int result = ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
-    const bool is_known = result == 0 && size >= kTcpInfoBytes;
-    return is_known ? info.tcpi_last_data_recv : 0;
-}
 
 std::string_view path_of(const HttpRequest& request) {
     const std::string_view target(request.target().data(), request.target().size());
@@ -191,7 +173,10 @@
     latest_request_was_rejected_ = false;
     context_.owner.on_request_accepted(*this);
     const bool has_capacity = context_.owner.has_capacity_for_request();
-    const RequestArrivalInfo arrival{kernel_queue_time(socket_), has_capacity};
+    // This time counts against the client's deadline: the connection may have waited in the accept queue, or
+    // this process may have had no CPU core.
+    const Millis queue_time = time_since_last_receive(socket_.native_handle()).value_or(0);
+    const RequestArrivalInfo arrival{queue_time, has_capacity};
     if (context_.handlers.is_upgrade && context_.handlers.is_upgrade(request)) {
         hand_over_socket(std::move(request), arrival);
         return;
--- a/tests/net/socket_limit_test.cpp
+++ b/tests/net/socket_limit_test.cpp
@@ -398,6 +398,62 @@
     EXPECT_FALSE(served.front()->closed);
 }
 
+// ---- Clients that wait in the accept queue
+// -----------------------------------------------------------------
+
+// Margin for the resolution of the kernel's clock, in milliseconds.
+constexpr Millis kKernelTick = 20;
+
+// Guards against requests that wait in the accept queue until their deadline has passed: clients that stop in
+// the middle of their first request held all sockets for 500 ms each (review/6).
+TEST(SocketLimit, RejectsRequestThatStallsOnNewConnectionWhenSocketsRunOut) {
+    ListenerFixture fixture;
+    const std::string request = SidecarFixture::request("safe");
+    const auto stalled =
+        fixture.connect_clients(ListenerFixture::kClients, request.substr(0, request.size() / 2));
+    run_ready_handlers(fixture.io);
+
+    fixture.block_event_loop_for(ClientConnection::kMinStallTime + kKernelTick);
+    EXPECT_FALSE(fixture.socket_budget.acquire(SocketPurpose::clients));
+    run_ready_handlers(fixture.io);  // without waiting for any client to become older
+    const auto has_response = [](const auto& client) { return client->response_count() > 0; };
+    ASSERT_EQ(std::count_if(stalled.begin(), stalled.end(), has_response), 1)
+        << "a client whose request was read must get a response";
+    EXPECT_EQ(status_of(**std::find_if(stalled.begin(), stalled.end(), has_response)), "HTTP/1.1 408");
+    EXPECT_TRUE(fixture.socket_budget.acquire(SocketPurpose::clients));
+}
+
+// Guards against the same wait for clients that stay silent: each held a socket for 50 ms from its accept,
+// however long it had been in the accept queue, so hundreds of them delayed the clients behind them.
+TEST(SocketLimit, DoesNotKeepClientThatWasSilentInTheAcceptQueue) {
+    ListenerFixture fixture;
+    const auto silent = fixture.connect_clients(3 * ListenerFixture::kClients, "");
+    const auto waiting = fixture.connect_clients(1, SidecarFixture::request("safe"));
+
+    fixture.block_event_loop_for(ClientConnection::kMinAgeWithoutBytes + kKernelTick);
+    run_ready_handlers(fixture.io);  // without waiting for any client to become older
+    EXPECT_EQ(waiting.front()->response_count(), 1U);
+    EXPECT_GT(fixture.closed_count(silent), 0U);
+}
+
+// A client that writes its request slowly must not be rejected like one that has stopped.
+TEST(SocketLimit, KeepsSlowRequestWhileItsBytesArrive) {
+    ListenerFixture fixture;
+    const std::string request = SidecarFixture::request("safe");
+    const Millis started_at = fixture.clock.now();
+    const auto slow = fixture.connect_clients(ListenerFixture::kClients, request.substr(0, 10));
+    run_ready_handlers(fixture.io);
+    fixture.block_event_loop_for(ClientConnection::kMinStallTime + kKernelTick);
+    for (const auto& client : slow) client->send(request.substr(10, 10));
+    run_ready_handlers(fixture.io);
+    EXPECT_FALSE(fixture.socket_budget.acquire(SocketPurpose::clients));
+    // Longer than this no incomplete request is kept.
+    const bool is_in_time = fixture.clock.now() - started_at < ClientConnection::kMinAgeWithoutRequest;
+    run_ready_handlers(fixture.io);
+    const auto has_response = [](const auto& client) { return client->response_count() > 0; };
+    EXPECT_TRUE(std::none_of(slow.begin(), slow.end(), has_response) || !is_in_time);
+}
+
 // A connection is not evicted right after a rejection. Until it can be, the idle connections of clients whose
 // requests were valid are not evicted in its place.
 TEST(SocketLimit, KeepsServedClientsWhileOthersHaveJustBeenRejected) {
