Send by the configured list only within the drain grace until it is confirmed

Cause: the configured list was used without limit until the agent's first word. Change: ListConfirmation. Where lists are pushed, sending stops half of rules.stop-sending-within-ms after the start of the process and is resumed when the agent has spoken. A refused connection confirms the list: there is no agent then. GET /up is 503 until then, for 5 s at most.

--- a/src/config/deployment_settings.cpp
+++ b/src/config/deployment_settings.cpp
@@ -115,6 +115,7 @@
     read_limits_and_rules(fields, settings);
     deployment.connect_timeout = fields.number_or("limits.connect-timeout-ms", deployment.connect_timeout);
     deployment.server_idle_timeout = fields.number_or("limits.idle-close-ms", deployment.server_idle_timeout);
+    deployment.drain_grace = fields.number_or("rules.stop-sending-within-ms", deployment.drain_grace);
     return deployment;
 }
 
--- a/src/config/deployment_settings.hpp
+++ b/src/config/deployment_settings.hpp
@@ -35,6 +35,9 @@
     Millis connect_timeout = 250;
     /// Idle time after which servers close a connection; the operators' `limits.idle-close-ms`.
     Millis server_idle_timeout = 15000;
+    /// Time within which sending to a server must stop once it drains or has left; the operators'
+    /// `rules.stop-sending-within-ms`.
+    Millis drain_grace = 500;
 };
 
 /// Returns a weight from an endpoint list in a form that is safe to divide by: 1 if the weight is not finite
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -47,6 +47,7 @@
         socket_.async_connect(owner_.endpoint_, [self = shared_from_this()](Error error) {
             if (self->is_closed_) return;
             if (error) {
+                if (error == asio::error::connection_refused) self->owner_.handlers_.on_list_confirmed();
                 self->end_call(DiscoveryError::connect_failed);
                 return;
             }
@@ -80,6 +81,7 @@
         if (is_closed_) return;
         is_closed_ = true;
         owner_.timers_.cancel(timer_);
+        owner_.timers_.cancel(first_line_timer_);
         Error ignored;
         socket_.close(ignored);
         owner_.socket_budget_.release(SocketPurpose::servers);
@@ -166,10 +168,21 @@
     // Checks the status of the response. Returns whether its body is to be read.
     bool check_head() {
         if (parser_->get().result() != http::status::ok) return end_call(DiscoveryError::unexpected_status);
-        if (!std::exchange(response_has_begun_, true)) set_timeout(kMaxSilence);
+        if (std::exchange(response_has_begun_, true)) return true;
+        set_timeout(kMaxSilence);
+        if (is_watch_) confirm_list_without_line();
         return true;
     }
 
+    // A watch whose list is current may get no line before the first heartbeat.
+    void confirm_list_without_line() {
+        first_line_timer_ =
+            owner_.timers_.set(owner_.clock_.now() + kFirstLineDelay, [self = shared_from_this()] {
+                self->first_line_timer_ = {};
+                self->owner_.handlers_.on_list_confirmed();
+            });
+    }
+
     // Applies the complete list, then opens the watch that starts at its version.
     void on_whole_list_received() {
         const bool can_reuse_connection = parser_->keep_alive();
@@ -210,6 +223,7 @@
         if (line.ends_with('\r')) line.remove_suffix(1);
         if (!line.empty() && !apply_list(line)) return false;
         owner_.last_message_at_ = owner_.clock_.now();
+        owner_.handlers_.on_list_confirmed();
         return true;
     }
 
@@ -232,7 +246,8 @@
             owner_.list_version_ = endpoint_list.revision;
             owner_.next_delay_ = owner_.backoff_.initial;
         }
-        owner_.on_endpoint_list_(std::move(endpoint_list));
+        owner_.handlers_.on_endpoint_list(std::move(endpoint_list));
+        owner_.handlers_.on_list_confirmed();
         if (is_complete) owner_.close_calls_before(*this);
         return !is_closed_;
     }
@@ -267,11 +282,11 @@
     bool is_superseded_ = false;  // a later call has received the whole list
     bool response_has_begun_ = false;
     TimerQueue::Key timer_{};
+    TimerQueue::Key first_line_timer_{};
 };
 
 Discovery::Discovery(asio::io_context& io, const Options& options, SocketBudget& socket_budget,
-                     TimerQueue& timers, const Clock& clock,
-                     std::function<void(EndpointList)> on_endpoint_list)
+                     TimerQueue& timers, const Clock& clock, Handlers handlers)
     : io_(io),
       endpoint_(options.endpoint),
       socket_budget_(socket_budget),
@@ -282,7 +297,7 @@
       mode_(options.mode),
       backoff_(options.mode == Mode::pushed ? kPushedBackoff : kPolledBackoff),
       random_(options.seed),
-      on_endpoint_list_(std::move(on_endpoint_list)),
+      handlers_(std::move(handlers)),
       next_delay_(backoff_.initial) {}
 
 Discovery::~Discovery() = default;
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -51,6 +51,9 @@
     /// kept, because a polled service responds to them first. An address that was replaced closes its
     /// connections after 1.5 s (LATER).
     static constexpr std::size_t kMaxPreviousCalls = 3;
+    /// Time from the beginning of a watch's response after which the current list counts as confirmed if no
+    /// line has arrived. The service sends what has changed at once, but no line if nothing has changed.
+    static constexpr Millis kFirstLineDelay = 50;
     /// Longest time that a polled service queues a call. One service serves all sidecars and handles their
     /// calls in turn. It rejects a call at once if the wait would be longer (docs/design/endings.md).
     static constexpr Millis kMaxQueueTime = 2000;
@@ -95,10 +98,19 @@
         Mode mode = Mode::pushed;
     };
 
+    /// Callbacks to the owner. They run on the event loop's thread, never inside the constructor.
+    struct Handlers {
+        /// Called with each parsed list or change, in order of arrival.
+        std::function<void(EndpointList)> on_endpoint_list;
+        /// Called when the current list is known to be up to date, after it was applied: at each list, change
+        /// and heartbeat, kFirstLineDelay after the response to a watch has begun, and when a connection is
+        /// refused. In the last case there is no service that could know of a change.
+        std::function<void()> on_list_confirmed;
+    };
+
     /// Starts no call before watch(). The referenced objects must outlive this one.
-    /// @param on_endpoint_list called with each parsed list or change, in order of arrival.
     Discovery(asio::io_context& io, const Options& options, SocketBudget& socket_budget, TimerQueue& timers,
-              const Clock& clock, std::function<void(EndpointList)> on_endpoint_list);
+              const Clock& clock, Handlers handlers);
     ~Discovery();
     Discovery(const Discovery&) = delete;
     Discovery& operator=(const Discovery&) = delete;
@@ -134,7 +146,7 @@
     const Mode mode_;
     const Backoff backoff_;
     std::mt19937_64 random_;
-    std::function<void(EndpointList)> on_endpoint_list_;
+    const Handlers handlers_;
     std::shared_ptr<Call> call_;                         // the current call; null between two calls
     std::vector<std::shared_ptr<Call>> previous_calls_;  // to earlier addresses, the oldest first
     TimerQueue::Key retry_timer_{};
--- a/src/sidecar/log_events.cpp
+++ b/src/sidecar/log_events.cpp
@@ -17,6 +17,12 @@
     return "component=cluster event=messages_not_allowed setting=limits.may-tell";
 }
 
+std::string list_unconfirmed_event() {
+    return "component=sidecar event=sending_suspended reason=list_unconfirmed";
+}
+
+std::string list_confirmed_event() { return "component=sidecar event=sending_resumed"; }
+
 std::optional<std::string> MemberChangeLog::observe(const cluster::MemberChange& change) {
     if (change.at - second_started_at_ >= kMillisPerSecond) {
         second_started_at_ = change.at;
--- a/src/sidecar/log_events.hpp
+++ b/src/sidecar/log_events.hpp
@@ -15,6 +15,14 @@
 /// sidecars.
 std::string cluster_not_allowed_event();
 
+/// Returns the log line for the moment at which sending is suspended, because discovery has not confirmed the
+/// endpoint list of the configuration.
+std::string list_unconfirmed_event();
+
+/// Returns the log line for the moment at which sending is resumed, because discovery has confirmed the
+/// endpoint list.
+std::string list_confirmed_event();
+
 /// Produces one line for each state change of a cluster member, at a limited rate, so that a partition of
 /// hundreds of members does not fill the log. Not thread-safe.
 class MemberChangeLog {
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -52,6 +52,7 @@
       long_message_budget_(long_message_bytes(config_)),
       engine_(config_.deployment.settings, config_.seed, *this),
       endpoints_(config_.deployment.zones, config_.deployment.machine_types),
+      list_confirmation_(timers_, clock_, {[this] { suspend_sending(); }, [this] { resume_sending(); }}),
       upstream_(io, socket_budget_, long_message_budget_, timers_, clock_,
                 {config_.deployment.connect_timeout, config_.deployment.server_idle_timeout},
                 [this](AttemptKey key, Outcome outcome, Millis duration, HttpResponse response) {
@@ -63,18 +64,26 @@
       discovery_(
           io,
           {config_.discovery, cached_revision(config_.cached_list), config_.seed, discovery_mode(config_)},
-          socket_budget_, timers_, clock_,
-          [this](const EndpointList& endpoint_list) {
-              const auto kind =
-                  endpoint_list.is_complete ? balancer::ListKind::snapshot : balancer::ListKind::incremental;
-              on_endpoint_list(kind, endpoint_list);
-          }),
+          socket_budget_, timers_, clock_, discovery_handlers()),
       listener_(io, config_.listen, socket_budget_, long_message_budget_, timers_, clock_,
                 longest_client_deadline(config_.deployment), listener_handlers(websocket)) {
     engine_.begin(clock_.now());
     if (restored_state) restore_state(std::move(*restored_state));
     on_endpoint_list(balancer::ListKind::cached, std::exchange(config_.cached_list, {}));
-    if (!config_.deployment.settings.requires_subscription) discovery_.watch();
+    if (config_.deployment.settings.requires_subscription) return;
+    discovery_.watch();
+    list_confirmation_.require(config_.deployment.drain_grace);
+}
+
+Discovery::Handlers Sidecar::discovery_handlers() {
+    Discovery::Handlers handlers;
+    handlers.on_endpoint_list = [this](const EndpointList& endpoint_list) {
+        const auto kind =
+            endpoint_list.is_complete ? balancer::ListKind::snapshot : balancer::ListKind::incremental;
+        on_endpoint_list(kind, endpoint_list);
+    };
+    handlers.on_list_confirmed = [this] { list_confirmation_.confirm(); };
+    return handlers;
 }
 
 Listener::Handlers Sidecar::listener_handlers(const websocket::Settings& settings) {
@@ -86,7 +95,7 @@
         on_request(id, std::move(request), received);
     };
     handlers.on_client_disconnected = [this](RequestId id) { on_client_disconnected(id); };
-    handlers.is_ready = [this] { return is_ready_; };
+    handlers.is_ready = [this] { return is_ready(); };
     if (!settings.enabled) return handlers;
 
     handlers.validate = [this, settings](const RequestHead& head) {
@@ -160,7 +169,7 @@
                              {"version", ELMBAY_VERSION},
                              {"pid", ::getpid()},
                              {"now_ms", clock_.wall_time()},
-                             {"ready", is_ready_},
+                             {"ready", is_ready()},
                              {"siblings", config_.deployment.settings.siblings},
                              {"requests", requests_status(request_counts_, engine_.requests())},
                              {"sockets", sockets_status(socket_budget_)},
@@ -217,7 +226,7 @@
     for (const EndpointRegistry::Change& change : update.changes) list.servers.push_back(change.info);
     // Updates the backends before the engine, so that no queued attempt is sent to a draining server.
     update_backends(update);
-    is_ready_ = is_ready_ || update.any_active;
+    has_active_server_ = has_active_server_ || update.any_active;
     const std::size_t skipped = endpoint_list.dropped_targets + update.skipped;
     const auto skipped_line = skipped_servers_log_.observe(clock_.now(), skipped);
     if (skipped_line) write_log_line(*skipped_line);
@@ -244,6 +253,32 @@
     });
 }
 
+// Any server of an unconfirmed list may be draining, so all of them count as draining. The registry keeps the
+// states of the list.
+void Sidecar::suspend_sending() {
+    write_log_line(list_unconfirmed_event());
+    set_servers_of_list(balancer::EndpointState::draining);
+}
+
+void Sidecar::resume_sending() {
+    write_log_line(list_confirmed_event());
+    set_servers_of_list(balancer::EndpointState::active);
+}
+
+// Applies `state` to all listed servers that are active by the list.
+void Sidecar::set_servers_of_list(balancer::EndpointState state) {
+    balancer::ServerList list{balancer::ListKind::incremental, {}, clock_.wall_time(), {}};
+    const bool may_send = state == balancer::EndpointState::active;
+    for (const auto& [uid, entry] : endpoints_.entries()) {
+        if (!entry.listed || entry.info.state != balancer::EndpointState::active) continue;
+        EndpointRegistry::Change change{entry.info, entry.endpoint, may_send};
+        change.info.state = state;
+        set_server(change);
+        list.servers.push_back(change.info);
+    }
+    engine_.on_endpoint_list(clock_.now(), std::move(list));
+}
+
 void Sidecar::on_member_changed(const cluster::MemberChange& change) {
     const auto line = member_change_log_.observe(change);
     if (line) write_log_line(*line);
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -19,6 +19,7 @@
 #include "net/listener.hpp"
 #include "net/upstream.hpp"
 #include "sidecar/endpoint_registry.hpp"
+#include "sidecar/list_confirmation.hpp"
 #include "sidecar/log_events.hpp"
 #include "sidecar/status_report.hpp"
 #include "state/snapshot.hpp"
@@ -70,6 +71,7 @@
     state::Snapshot snapshot() const;
 
 private:
+    Discovery::Handlers discovery_handlers();
     Listener::Handlers listener_handlers(const websocket::Settings& settings);
     std::unique_ptr<websocket::Proxy> make_websocket_proxy(const websocket::Settings& settings);
     void restore_state(RestoredState restored_state);
@@ -78,6 +80,10 @@
     void update_backends(const EndpointRegistry::Update& update);
     void set_server(const EndpointRegistry::Change& change);
     void remove_withdrawn_servers();
+    void suspend_sending();
+    void resume_sending();
+    void set_servers_of_list(balancer::EndpointState state);
+    bool is_ready() const { return has_active_server_ && list_confirmation_.allows_readiness(); }
     void count_outcome(const engine::FinalOutcome& outcome);
 
     // Events that are passed to the engine.
@@ -111,7 +117,8 @@
     std::unordered_map<RequestId, std::shared_ptr<const HttpRequest>> forwarded_requests_;
     HttpResponse* ended_attempt_response_ = nullptr;  // set while on_attempt_ended() runs
     EndpointRegistry endpoints_;
-    bool is_ready_ = false;  // whether a list has contained an active server
+    bool has_active_server_ = false;  // whether a list has contained an active server
+    ListConfirmation list_confirmation_;
     Upstream upstream_;
     std::unique_ptr<websocket::Proxy> websocket_proxy_;  // null if [websocket] is off
     Discovery discovery_;
--- a/tests/end_to_end/deployment_settings_test.cpp
+++ b/tests/end_to_end/deployment_settings_test.cpp
@@ -114,6 +114,9 @@
         fixture.config["limits"] = generated.limits;
         fixture.start();
         ASSERT_FALSE(HasFatalFailure());
+        fixture.begin_watch();
+        fixture.send_chunk("\n");  // a heartbeat: nothing has changed
+        fixture.handle_pending_events();
         const auto readiness_probe = fixture.connect_client();
         readiness_probe->send("GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
         ASSERT_TRUE(fixture.until([&] { return readiness_probe->received.size() > 12; }));
--- a/tests/end_to_end/startup_test.cpp
+++ b/tests/end_to_end/startup_test.cpp
@@ -55,5 +55,81 @@
     }
 }
 
+// A sidecar that starts while discovery is down: the agent accepts the call and is silent.
+struct SilentAgentFixture : SidecarFixture {
+    FakeServer& server = servers.front();
+
+    SilentAgentFixture() {
+        config["settings"]["rules"]["stop-sending-within-ms"] = 100.0;
+        config["settings"]["classes"][1]["on-time-ms"] = 160.0;  // a request waits a tenth of it for a server
+        start();
+    }
+
+    // Sends a request, serves it if it reaches the server, and returns the status of its response.
+    std::string send_request() {
+        const auto client = connect_client();
+        client->send(request("unsafe"));
+        EXPECT_TRUE(until([&] {
+            server.respond_to_all();
+            return client->received.size() > 12;
+        }));
+        return status_of(*client);
+    }
+
+    void send_requests_until_rejected() {
+        ASSERT_TRUE(until([&] { return send_request() == "HTTP/1.1 503"; }));
+    }
+
+    std::string readiness() {
+        const auto client = connect_client();
+        client->send(kReadinessRequest);
+        EXPECT_TRUE(until([&] { return client->received.size() > 12; }));
+        return status_of(*client);
+    }
+};
+
+// Guards against requests to a draining server after a restart while discovery is down: the agent may know of
+// a drain that the list of the configuration does not have, and that counts as told (review/8).
+TEST(Startup, StopsSendingByConfiguredListWithinDrainGraceWhileAgentIsSilent) {
+    SilentAgentFixture fixture;
+    EXPECT_EQ(fixture.readiness(), "HTTP/1.1 503");
+    fixture.send_requests_until_rejected();
+    const std::size_t requests_before = fixture.server.request_count();
+    for (int i = 0; i < 5; ++i) EXPECT_EQ(fixture.send_request(), "HTTP/1.1 503");
+    EXPECT_EQ(fixture.server.request_count(), requests_before);
+}
+
+// The first words of the agent may be that nothing has changed, what has changed, or the whole list.
+TEST(Startup, ResumesSendingWhenAgentConfirmsConfiguredList) {
+    SilentAgentFixture fixture;
+    fixture.send_requests_until_rejected();
+    fixture.begin_watch();
+    ASSERT_TRUE(fixture.until([&] { return fixture.readiness() == "HTTP/1.1 200"; }));
+    EXPECT_EQ(fixture.send_request(), "HTTP/1.1 200");
+}
+
+TEST(Startup, ResumesSendingOnlyToServersThatAgentDoesNotReportAsDraining) {
+    for (const bool is_whole_list : {false, true}) {
+        SCOPED_TRACE(is_whole_list);
+        SilentAgentFixture fixture;
+        fixture.send_requests_until_rejected();
+        const std::size_t requests_before = fixture.server.request_count();
+        FakeServer active(fixture.io);
+        Json entries = fixture.targets("leaving");
+        entries.push_back(SidecarFixture::target(1, active.address()));
+        fixture.begin_watch();
+        fixture.send_chunk(fixture.watch_line(entries, is_whole_list));
+        ASSERT_TRUE(fixture.until([&] { return fixture.readiness() == "HTTP/1.1 200"; }));
+        const auto client = fixture.connect_client();
+        client->send(SidecarFixture::request("unsafe"));
+        ASSERT_TRUE(fixture.until([&] {
+            active.respond_to_all();
+            return client->received.size() > 12;
+        }));
+        EXPECT_EQ(status_of(*client), "HTTP/1.1 200");
+        EXPECT_EQ(fixture.server.request_count(), requests_before);
+    }
+}
+
 }  // namespace
 }  // namespace elmbay::test
--- a/tests/support/sidecar_fixture.hpp
+++ b/tests/support/sidecar_fixture.hpp
@@ -57,6 +57,7 @@
                       {"may-cancel", true},
                       {"connect-timeout-ms", 10000.0},
                       {"idle-close-ms", 15000.0}}},
+                    {"rules", {{"stop-sending-within-ms", 600000.0}}},
                     {"membership-mode", "pushed"},
                     {"siblings", 1}}},
                   {"known", {{"rev", 1}, {"all", true}, {"targets", targets()}}}};
