Take the memory of unfinished requests from the byte budget

Cause: only bodies beyond 64 KiB needed a grant. Below that a body, an input buffer of 32 KiB and any number of fields were bounded by the number of connections alone, whatever memory_mb is. A request whose client had left kept its body without its grant. Change: RequestMemory and RequestParser: grants for heads and bodies beyond 4 KiB, in steps as bytes arrive, kept by the request until its last attempt has ended; 100 fields at most; 503 if there is no memory.

--- a/src/base/byte_budget.hpp
+++ b/src/base/byte_budget.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// Bounds the total memory that long messages may occupy in this process.
+/// Bounds the total memory that messages may occupy in this process.
 #pragma once
 
 #include <cstddef>
@@ -9,11 +9,11 @@
 
 namespace elmbay {
 
-/// Grants bytes for messages beyond the protocol's usual size.
+/// Grants bytes for messages that are not small.
 ///
-/// A connection reads a long message only with a grant for the message's maximum size, and keeps the grant
-/// for as long as it holds the message. Messages of the usual size need no grant, because the descriptor
-/// limit bounds their number.
+/// A message beyond the protocol's usual size is read only with a grant for its maximum size, and the grant
+/// is kept for as long as the message. Such large grants leave a share of the budget to the others. Small
+/// messages need no grant, because the descriptor limit bounds their number.
 ///
 /// Not thread-safe: used on the event loop's thread only.
 class ByteBudget {
@@ -50,13 +50,24 @@
     ByteBudget& operator=(const ByteBudget&) = delete;
 
     /// Returns a grant of the given number of bytes, or nothing if fewer bytes are available.
-    std::optional<Grant> acquire(std::size_t bytes) {
-        const std::size_t available = limit_ - *used_;
-        if (bytes > available) return {};
-        return Grant(used_, bytes);
+    std::optional<Grant> acquire(std::size_t bytes) { return acquire_within(limit_, bytes); }
+
+    /// Returns a grant for a message beyond the usual size, or nothing if fewer bytes are available without
+    /// the share that is left to other messages.
+    std::optional<Grant> acquire_large(std::size_t bytes) {
+        return acquire_within(limit_ / kLargeDivisor * kLargeMultiplier, bytes);
     }
 
 private:
+    // Share of the limit up to which large grants are given: two thirds.
+    static constexpr std::size_t kLargeMultiplier = 2;
+    static constexpr std::size_t kLargeDivisor = 3;
+
+    std::optional<Grant> acquire_within(std::size_t limit, std::size_t bytes) {
+        if (*used_ > limit || bytes > limit - *used_) return {};
+        return Grant(used_, bytes);
+    }
+
     std::size_t limit_;
     // Bytes that are granted; shared with the grants.
     std::shared_ptr<std::size_t> used_ = std::make_shared<std::size_t>(0);
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -254,8 +254,8 @@
     enter(ConnectionState::writing_response);
     release_message_memory();
     if (response.body().size() > kMaxBodyBytesWithoutGrant) {
-        message_memory_ = context_.byte_budget.acquire(kMaxResponseBodyBytes);
-        if (!message_memory_)
+        response_memory_ = context_.byte_budget.acquire_large(kMaxResponseBodyBytes);
+        if (!response_memory_)
             response = text_response(http::status::bad_gateway, "no memory for so long an answer\n");
     }
     if (context_.owner.is_draining()) closes_after_response_ = true;
@@ -273,7 +273,7 @@
 void ClientConnection::on_written(Error error) {
     if (state_ != ConnectionState::writing_response) return;
     response_.reset();
-    message_memory_.reset();
+    response_memory_.reset();
     if (error) {
         close();
         return;
@@ -304,7 +304,8 @@
 void ClientConnection::release_message_memory() {
     parser_.reset();
     buffer_.reset();
-    message_memory_.reset();
+    request_memory_.reset();
+    response_memory_.reset();
 }
 
 // ---- closing
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -19,6 +19,8 @@
 #include "http/message.hpp"
 #include "http/request_validation.hpp"
 #include "net/listener_handlers.hpp"
+#include "net/request_memory.hpp"
+#include "net/request_parser.hpp"
 
 namespace elmbay {
 
@@ -67,7 +69,7 @@
     ClientConnectionOwner& owner;
     const Clock& clock;
     TimerQueue& timers;
-    ByteBudget& byte_budget;  ///< memory for bodies larger than kMaxBodyBytesWithoutGrant
+    ByteBudget& byte_budget;  ///< memory for messages that are not small
     const ListenerHandlers& handlers;
     Millis max_response_time = 0;         ///< the longest time that any client waits for its response
     asio::mutable_buffer discard_buffer;  ///< receives input that is read and discarded
@@ -190,8 +192,6 @@
     /// Time after which an incomplete request may be rejected when sockets run out, even if its bytes keep
     /// arriving.
     static constexpr Millis kMinAgeWithoutRequest = 500;
-    /// Size limit of the parser's input buffer. It bounds endless chunk size lines and trailers.
-    static constexpr std::size_t kMaxReadAhead = 2 * kMaxHeadBytes;
 
     ClientConnection(const ClientConnectionContext& context, asio::ip::tcp::socket socket);
 
@@ -260,12 +260,14 @@
     void on_body_read(Error error);
     void on_read_failed(Error error);
     void on_read_timed_out();
-    std::optional<RequestProblem> find_problem(const HttpRequest& head) const;
-    bool reserve_body();
+    std::optional<RequestProblem> find_problem(const RequestHead& head) const;
+    void read_head();
+    void read_body();
+    bool can_continue_after(Error error);
     void on_request_complete();
     void respond_to_health_check();
     void start_request(HttpRequest request);
-    void hand_over_socket(HttpRequest request, const RequestArrivalInfo& arrival);
+    void hand_over_socket(HttpRequest request, RequestArrivalInfo arrival);
 
     // ---- responding
     enum class AfterResponse { keep, close };
@@ -294,13 +296,14 @@
 
     const ClientConnectionContext& context_;
     TcpSocket socket_;
-    // These two exist only while a request is being read, because most connections are idle.
+    // These three exist only while a request is being read, because most connections are idle.
+    std::optional<RequestMemory> request_memory_;
     std::optional<boost::beast::flat_buffer> buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
-    std::optional<HttpResponse> response_;             // the response that is being written
-    std::optional<ByteBudget::Grant> message_memory_;  // for a body above kMaxBodyBytesWithoutGrant
-    std::optional<RequestProblem> problem_;            // why the request that is being read is rejected
-    RequestId request_id_ = 0;                         // the request in progress; 0 if there is none
+    std::optional<RequestParser> parser_;
+    std::optional<HttpResponse> response_;              // the response that is being written
+    std::optional<ByteBudget::Grant> response_memory_;  // for a body above kMaxBodyBytesWithoutGrant
+    std::optional<RequestProblem> problem_;             // why the request that is being read is rejected
+    RequestId request_id_ = 0;                          // the request in progress; 0 if there is none
     ConnectionState state_ = ConnectionState::awaiting_request;
     bool has_sent_request_ = false;             // a valid request was received, whatever its outcome
     bool latest_request_was_rejected_ = false;  // GET /up does not count, neither here nor above
--- a/src/net/client_connection_reading.cpp
+++ b/src/net/client_connection_reading.cpp
@@ -14,7 +14,7 @@
 
 constexpr const char* kHealthCheckPath = "/up";
 
-std::string_view path_of(const HttpRequest& request) {
+std::string_view path_of(const RequestHead& request) {
     const std::string_view target(request.target().data(), request.target().size());
     return target.substr(0, target.find('?'));
 }
@@ -38,20 +38,44 @@
         reading_since_ = context_.clock.now();
         set_timeout(kRequestReadTimeout);
     }
-    buffer_.emplace(kMaxReadAhead);
-    parser_.emplace();
+    request_memory_.emplace(context_.byte_budget);
+    buffer_.emplace(RequestMemory::kHeadBytesWithoutGrant);
+    parser_.emplace(*request_memory_);
     parser_->body_limit(kMaxRequestBodyBytes);
     parser_->header_limit(kMaxHeadBytes);
+    read_head();
+}
+
+void ClientConnection::read_head() {
     http::async_read_header(socket_, *buffer_, *parser_,
                             [self = shared_from_this()](Error error, std::size_t) {
                                 self->run_guarded([&] { self->on_head_read(error); });
                             });
 }
 
+void ClientConnection::read_body() {
+    http::async_read(socket_, *buffer_, *parser_, [self = shared_from_this()](Error error, std::size_t) {
+        self->run_guarded([&] { self->on_body_read(error); });
+    });
+}
+
+// Returns whether the read that ended with `error` can continue, because its input buffer was full and has
+// been enlarged.
+bool ClientConnection::can_continue_after(Error error) {
+    if (error != http::error::buffer_overflow || read_timed_out_) return false;
+    if (!request_memory_->grow_input()) return false;
+    buffer_->max_size(RequestMemory::kMaxInputBytes);
+    return true;
+}
+
 // Rejects an invalid request before its body is read. Contradictory framing is rejected first, before any
 // decision about where the body ends.
 void ClientConnection::on_head_read(Error error) {
     if (state_ != ConnectionState::reading_request) return;
+    if (can_continue_after(error)) {
+        read_head();
+        return;
+    }
     if (error) {
         on_read_failed(error);
         return;
@@ -70,19 +94,19 @@
         on_request_complete();
     } else if (problem_) {
         reject(*problem_, AfterResponse::close);
-    } else if (!reserve_body()) {
+    } else if (parser_->content_length().value_or(0) > kMaxBodyBytesWithoutGrant &&
+               !request_memory_->reserve_large_body()) {
         reject(kBodyTooLarge, AfterResponse::close);
     } else {
-        http::async_read(socket_, *buffer_, *parser_,
-                         [self = shared_from_this()](Error body_error, std::size_t) {
-                             self->run_guarded([&] { self->on_body_read(body_error); });
-                         });
+        read_body();
     }
 }
 
 void ClientConnection::on_body_read(Error error) {
     if (state_ != ConnectionState::reading_request) return;
-    if (error)
+    if (can_continue_after(error))
+        read_body();
+    else if (error)
         on_read_failed(error);
     else
         on_request_complete();
@@ -91,6 +115,9 @@
 void ClientConnection::on_read_failed(Error error) {
     if (read_timed_out_ && error == asio::error::operation_aborted)
         on_read_timed_out();
+    else if (error == boost::system::errc::not_enough_memory ||
+             (error == http::error::buffer_overflow && !request_memory_->has_grown_input()))
+        reject(kOutOfMemory, AfterResponse::close);
     else if (!is_protocol_error(error))
         close();
     else if (error == http::error::body_limit)
@@ -105,7 +132,7 @@
 // response only if the sidecar had read nothing of it, and part of this one has been read.
 void ClientConnection::on_read_timed_out() { reject(kRequestTimeout, AfterResponse::close); }
 
-std::optional<RequestProblem> ClientConnection::find_problem(const HttpRequest& head) const {
+std::optional<RequestProblem> ClientConnection::find_problem(const RequestHead& head) const {
     const std::string_view path = path_of(head);
     const bool is_get = head.method() == http::verb::get;
     std::optional<RequestProblem> problem;
@@ -120,19 +147,6 @@
     return is_get && has_body ? kGetWithBody : problem;
 }
 
-// Takes memory from the budget for a body that is long or of unknown length. Without a grant, a body of
-// unknown length is limited to kMaxBodyBytesWithoutGrant.
-// @return false if the body must not be read because its memory was not granted.
-bool ClientConnection::reserve_body() {
-    const auto length = parser_->content_length();
-    if (length && *length <= kMaxBodyBytesWithoutGrant) return true;
-    message_memory_ = context_.byte_budget.acquire(kMaxRequestBodyBytes);
-    if (message_memory_) return true;
-    if (length) return false;
-    parser_->body_limit(kMaxBodyBytesWithoutGrant);
-    return true;
-}
-
 void ClientConnection::on_request_complete() {
     context_.timers.cancel(timer_);
     closes_after_response_ = !parser_->keep_alive();
@@ -140,7 +154,7 @@
         reject(kPipelinedRequest, AfterResponse::close);
         return;
     }
-    HttpRequest request = parser_->release();
+    HttpRequest request = parser_->release_request();
     parser_.reset();
     buffer_.reset();
     if (problem_) {
@@ -176,9 +190,9 @@
     // This time counts against the client's deadline: the connection may have waited in the accept queue, or
     // this process may have had no CPU core.
     const Millis queue_time = time_since_last_receive(socket_.native_handle()).value_or(0);
-    const RequestArrivalInfo arrival{queue_time, has_capacity};
+    RequestArrivalInfo arrival{queue_time, has_capacity, std::exchange(request_memory_, std::nullopt)};
     if (context_.handlers.is_upgrade && context_.handlers.is_upgrade(request)) {
-        hand_over_socket(std::move(request), arrival);
+        hand_over_socket(std::move(request), std::move(arrival));
         return;
     }
     enter(ConnectionState::request_in_progress);
@@ -186,14 +200,14 @@
     context_.owner.on_request_started(request_id_, *this);
     const auto self = shared_from_this();
     await_readable();  // detects a disconnect of the client
-    context_.handlers.on_request(request_id_, std::move(request), arrival);
+    context_.handlers.on_request(request_id_, std::move(request), std::move(arrival));
 }
 
-void ClientConnection::hand_over_socket(HttpRequest request, const RequestArrivalInfo& arrival) {
+void ClientConnection::hand_over_socket(HttpRequest request, RequestArrivalInfo arrival) {
     enter(ConnectionState::closed);
     context_.owner.on_closed(*this);
     context_.handlers.on_upgrade(context_.owner.next_request_id(), std::move(socket_), std::move(request),
-                                 arrival);
+                                 std::move(arrival));
 }
 
 }  // namespace elmbay
--- a/src/net/client_responses.hpp
+++ b/src/net/client_responses.hpp
@@ -20,6 +20,7 @@
 constexpr RequestProblem kUnknownPath{http::status::not_found, "no such path\n"};
 constexpr RequestProblem kHealthCheckMethod{http::status::method_not_allowed, "GET\n"};
 constexpr RequestProblem kCorrelationIdInUse{http::status::conflict, "X-Correlation-Id has been used\n"};
+constexpr RequestProblem kOutOfMemory{http::status::service_unavailable, "no memory for the request\n"};
 constexpr RequestProblem kInternalError{http::status::internal_server_error, "failed\n"};
 
 /// @return a response with a plain text body. The caller adds the framing headers (prepare_payload()).
--- a/src/net/listener_handlers.hpp
+++ b/src/net/listener_handlers.hpp
@@ -9,6 +9,7 @@
 #include "base/timing.hpp"
 #include "http/message.hpp"
 #include "http/request_validation.hpp"
+#include "net/request_memory.hpp"
 
 namespace elmbay {
 
@@ -20,6 +21,8 @@
     /// False if the connection uses a reserved socket or if a shutdown leaves no time for the request. Then
     /// the request must be rejected at once.
     bool has_capacity = true;
+    /// The memory of the request's body. To be kept for as long as the body.
+    std::optional<RequestMemory> memory{};
 };
 
 /// Callbacks of a Listener. All are called on the event loop's thread.
--- a/src/net/response_reader.cpp
+++ b/src/net/response_reader.cpp
@@ -95,7 +95,7 @@
     const auto length = parser_->content_length();
     if (length && *length <= kMaxBodyBytesWithoutGrant) return true;
     large_response_grant_.reset();
-    large_response_grant_ = byte_budget_.acquire(kLargeResponseBytes);
+    large_response_grant_ = byte_budget_.acquire_large(kLargeResponseBytes);
     if (length) return large_response_grant_ && *length <= kMaxResponseBodyBytes;
     if (!large_response_grant_) parser_->body_limit(kMaxBodyBytesWithoutGrant);
     return true;
--- a/src/sidecar/resource_limits.cpp
+++ b/src/sidecar/resource_limits.cpp
@@ -15,9 +15,10 @@
 // Minimum of the socket budget, even if the limits are lower. With fewer sockets the process could not serve
 // requests.
 constexpr std::size_t kMinSockets = 8;
-// Long messages may occupy the memory limit divided by this number. All other data takes some MB; half as
-// much again is left for the allocator, which does not return memory at once.
-constexpr std::size_t kLongMessageDivisor = 4;
+// Share of the memory limit that messages may occupy, if they are not small: three eighths. All other data
+// takes some MB, and the allocator does not return memory at once.
+constexpr std::size_t kMessageMultiplier = 3;
+constexpr std::size_t kMessageDivisor = 8;
 // A session has one socket to its client and one to its server.
 constexpr std::size_t kSocketsPerSession = 2;
 
@@ -44,7 +45,9 @@
     return budget;
 }
 
-std::size_t long_message_bytes(const Config& config) { return config.max_memory_bytes / kLongMessageDivisor; }
+std::size_t message_bytes(const Config& config) {
+    return config.max_memory_bytes / kMessageDivisor * kMessageMultiplier;
+}
 
 Config with_session_limits(Config config, const websocket::Settings& websocket) {
     balancer::Settings& settings = config.deployment.settings;
--- a/src/sidecar/resource_limits.hpp
+++ b/src/sidecar/resource_limits.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// Resource limits of this process: descriptors, bytes of long messages, sessions. Derived from the
+/// Resource limits of this process: descriptors, bytes of messages, sessions. Derived from the
 /// configuration and the limits of the system.
 #pragma once
 
@@ -19,8 +19,8 @@
 /// @return the socket budget, with an allocation for sessions if `[websocket]` is on.
 SocketBudget make_socket_budget(const Config& config, const websocket::Settings& websocket);
 
-/// @return the maximum total size of messages beyond the usual size, in bytes.
-std::size_t long_message_bytes(const Config& config);
+/// @return the maximum total size of messages that are not small, in bytes.
+std::size_t message_bytes(const Config& config);
 
 /// @return the configuration with the session limits of `[websocket]` in the balancer's settings. The limit
 /// is 0 sessions if `[websocket]` is off.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -33,6 +33,19 @@
     return cached_list.revision;
 }
 
+// A request in the form in which it is sent to servers, with the memory of its body.
+struct HeldRequest {
+    HttpRequest message;
+    std::optional<RequestMemory> memory;
+};
+
+// Returns the message, whose last owner releases the memory as well.
+std::shared_ptr<const HttpRequest> hold(HttpRequest message, std::optional<RequestMemory> memory) {
+    auto request = std::make_shared<const HeldRequest>(HeldRequest{std::move(message), std::move(memory)});
+    const HttpRequest* const address = &request->message;
+    return {std::move(request), address};
+}
+
 Discovery::Mode discovery_mode(const Config& config) {
     return config.deployment.settings.requires_subscription ? Discovery::Mode::polled
                                                             : Discovery::Mode::pushed;
@@ -49,11 +62,11 @@
       config_(with_session_limits(std::move(config), websocket)),
       timers_(io, clock_),
       socket_budget_(make_socket_budget(config_, websocket)),
-      long_message_budget_(long_message_bytes(config_)),
+      message_budget_(message_bytes(config_)),
       engine_(config_.deployment.settings, config_.seed, *this),
       endpoints_(config_.deployment.zones, config_.deployment.machine_types),
       list_confirmation_(timers_, clock_, {[this] { suspend_sending(); }, [this] { resume_sending(); }}),
-      upstream_(io, socket_budget_, long_message_budget_, timers_, clock_,
+      upstream_(io, socket_budget_, message_budget_, timers_, clock_,
                 {config_.deployment.connect_timeout, config_.deployment.server_idle_timeout},
                 [this](AttemptKey key, Outcome outcome, Millis duration, HttpResponse response) {
                     on_attempt_ended(key, outcome, duration, std::move(response));
@@ -65,7 +78,7 @@
           io,
           {config_.discovery, cached_revision(config_.cached_list), config_.seed, discovery_mode(config_)},
           socket_budget_, timers_, clock_, discovery_handlers()),
-      listener_(io, config_.listen, socket_budget_, long_message_budget_, timers_, clock_,
+      listener_(io, config_.listen, socket_budget_, message_budget_, timers_, clock_,
                 longest_client_deadline(config_.deployment), listener_handlers(websocket)) {
     engine_.begin(clock_.now());
     if (restored_state) restore_state(std::move(*restored_state));
@@ -92,7 +105,7 @@
         return validate_request(head, config_.deployment);
     };
     handlers.on_request = [this](RequestId id, HttpRequest request, RequestArrivalInfo received) {
-        on_request(id, std::move(request), received);
+        on_request(id, std::move(request), std::move(received));
     };
     handlers.on_client_disconnected = [this](RequestId id) { on_client_disconnected(id); };
     handlers.is_ready = [this] { return is_ready(); };
@@ -106,7 +119,7 @@
     handlers.is_upgrade = websocket::is_upgrade_request;
     handlers.on_upgrade = [this](RequestId id, asio::ip::tcp::socket client, HttpRequest request,
                                  RequestArrivalInfo received) {
-        on_upgrade_request(id, std::move(client), std::move(request), received);
+        on_upgrade_request(id, std::move(client), std::move(request), std::move(received));
     };
     return handlers;
 }
@@ -191,7 +204,7 @@
     balancer::RequestArrived event = arrival_event(id, request, received);
     event.needs_immediate_response = !received.has_capacity;
     ++request_counts_.received;
-    forwarded_requests_[id] = std::make_shared<const HttpRequest>(make_forwarded_request(std::move(request)));
+    forwarded_requests_[id] = hold(make_forwarded_request(std::move(request)), std::move(received.memory));
     engine_.on_request(clock_.now(), event);
 }
 
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -111,7 +111,7 @@
     Config config_;
     TimerQueue timers_;
     SocketBudget socket_budget_;
-    ByteBudget long_message_budget_;
+    ByteBudget message_budget_;
     engine::Engine engine_;
     // Requests in the form in which they are sent to servers, until the engine releases them.
     std::unordered_map<RequestId, std::shared_ptr<const HttpRequest>> forwarded_requests_;
--- a/tests/net/message_size_limit_test.cpp
+++ b/tests/net/message_size_limit_test.cpp
@@ -1,9 +1,13 @@
 // Tests the limits on long messages: the limit of each message and the memory budget of all of them together.
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
+#include <vector>
 
+#include "net/request_parser.hpp"
 #include "support/sidecar_fixture.hpp"
 
 namespace elmbay::test {
@@ -76,6 +80,96 @@
     ASSERT_TRUE(fixture.until([&] { return first->received.find("502") != std::string::npos; }));
 }
 
+// The head and the first `body_size` bytes of a chunked request, without its end.
+std::string incomplete_chunked_request(std::size_t body_size) {
+    static int number = 0;
+    ++number;
+    std::ostringstream chunk;
+    chunk << std::hex << body_size << "\r\n" << std::string(body_size, 'c') << "\r\n";
+    return "POST /api HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: chunked-" + std::to_string(number) +
+           "\r\nX-Service-Class: unsafe\r\nX-Time-Left: 50000m\r\nTransfer-Encoding: chunked\r\n\r\n" +
+           chunk.str();
+}
+
+constexpr const char* kLastChunk = "0\r\n\r\n";
+
+// Guards against a process that exceeds its memory limit: clients that wrote chunked bodies of the usual size
+// slowly took memory that nothing bounded but their number (review/10).
+TEST(MessageSizeLimit, LimitsTotalMemoryOfIncompleteRequests) {
+    SidecarFixture fixture;
+    fixture.config["limits"]["memory_mb"] = 1;  // 384 KiB for messages
+    fixture.start();
+    constexpr std::size_t kBodyBytes = 60000;
+    constexpr std::size_t kBodiesInBudget = 6;
+    std::vector<std::shared_ptr<Peer>> slow;
+    for (std::size_t i = 0; i < kBodiesInBudget; ++i) {
+        slow.push_back(fixture.connect_client());
+        slow.back()->send(incomplete_chunked_request(kBodyBytes));
+        run_ready_handlers(fixture.io);
+    }
+    const auto rejected = fixture.connect_client();
+    rejected->send(incomplete_chunked_request(kBodyBytes));
+    ASSERT_TRUE(fixture.until([&] { return rejected->received.size() > 12; }));
+    EXPECT_EQ(status_of(*rejected), "HTTP/1.1 503");
+
+    const auto small = fixture.connect_client();
+    small->send(incomplete_chunked_request(100) + kLastChunk);
+    ASSERT_TRUE(fixture.until([&] {
+        fixture.servers.front().respond_to_all();
+        return small->received.size() > 12;
+    }));
+    EXPECT_EQ(status_of(*small), "HTTP/1.1 200") << "a small request must need nothing of the budget";
+
+    slow.front()->close();
+    run_ready_handlers(fixture.io);
+    const auto next = fixture.connect_client();
+    next->send(incomplete_chunked_request(kBodyBytes) + kLastChunk);
+    ASSERT_TRUE(fixture.until([&] {
+        fixture.servers.front().respond_to_all();
+        return next->received.size() > 12;
+    })) << "the memory of a client that has left must be free again";
+    EXPECT_EQ(status_of(*next), "HTTP/1.1 200");
+    for (const auto& client : slow) EXPECT_EQ(client->received, "");
+}
+
+// Guards against the same limit being exceeded by long heads: each could take several times its bytes.
+TEST(MessageSizeLimit, LimitsTotalMemoryOfIncompleteHeads) {
+    SidecarFixture fixture;
+    fixture.config["limits"]["memory_mb"] = 1;
+    fixture.start();
+    const std::string long_head = "GET /api HTTP/1.1\r\nX-Facts: " + std::string(10000, 'f');
+    constexpr std::size_t kHeadsInBudget = 8;  // 48 KiB each
+    std::vector<std::shared_ptr<Peer>> slow;
+    for (std::size_t i = 0; i < kHeadsInBudget; ++i) {
+        slow.push_back(fixture.connect_client());
+        slow.back()->send(long_head);
+        run_ready_handlers(fixture.io);
+    }
+    const auto rejected = fixture.connect_client();
+    rejected->send(long_head);
+    ASSERT_TRUE(fixture.until([&] { return rejected->received.size() > 12; }));
+    EXPECT_EQ(status_of(*rejected), "HTTP/1.1 503");
+    for (const auto& client : slow) EXPECT_EQ(client->received, "");
+}
+
+// Guards against heads, and trailers, of thousands of short fields: a parsed field takes some 80 bytes
+// however short it is.
+TEST(MessageSizeLimit, RejectsRequestsWithTooManyFields) {
+    SidecarFixture fixture;
+    fixture.start();
+    std::string fields;
+    for (std::size_t i = 0; i <= RequestParser::kMaxFields; ++i) fields += "a:b\r\n";
+    const std::string request = SidecarFixture::request("safe", "50000m", fields);
+    const std::string chunked = incomplete_chunked_request(1) + "0\r\n" + fields + "\r\n";
+    for (const std::string& text : {request, chunked}) {
+        const auto client = fixture.connect_client();
+        client->send(text);
+        ASSERT_TRUE(fixture.until([&] { return client->received.size() > 12; }));
+        EXPECT_EQ(status_of(*client), "HTTP/1.1 431");
+    }
+    EXPECT_EQ(fixture.servers.front().request_count(), 0U);
+}
+
 // The sidecar is destroyed before the event loop, whose handlers still own connections with long messages.
 // AddressSanitizer reports a grant that returns its bytes to a destroyed budget.
 TEST(MessageSizeLimit, SidecarCanBeDestroyedWithLongMessagesInFlight) {
