Apply the list of a new address of discovery after changes of the old one

Cause: Discovery::Call::apply_list passed on the whole list of the new address before close_calls_before read and applied what earlier calls had received, so an old change took effect over the newer list. Change: earlier calls are closed, and what they have received is applied, before the list that ends them. Measured, on arm64: Reload.AppliesListOfNewAddressAfterChangesOfOldWatch fails on the code before (the draining server got the request) and passes now, with all of Reload.*.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -70,7 +70,8 @@
     }
 
     /// Reads and applies the changes that the kernel has received, then closes the call. To be called when a
-    /// later call has received the whole list. A whole list of this call is older, and is not applied.
+    /// later call has received the whole list, before that list is applied. A whole list of this call is
+    /// older, and is not applied.
     void supersede() {
         is_superseded_ = true;
         read_pending();
@@ -246,9 +247,10 @@
             owner_.list_version_ = endpoint_list.revision;
             owner_.next_delay_ = owner_.backoff_.initial;
         }
+        // What earlier calls have received is older than this list, so it is applied first.
+        if (is_complete) owner_.close_calls_before(*this);
         owner_.handlers_.on_endpoint_list(std::move(endpoint_list));
         owner_.handlers_.on_list_confirmed();
-        if (is_complete) owner_.close_calls_before(*this);
         return !is_closed_;
     }
 
@@ -342,8 +344,8 @@
         call->close();
 }
 
-// Closes the calls that began before `call`, which has received the whole list. A change that the service has
-// written to this process must take effect, so the changes that they have received are applied first.
+// Closes the calls that began before `call`, which has received the whole list. The changes that they have
+// received are applied, so the caller must apply that list afterwards.
 void Discovery::close_calls_before(const Call& call) {
     while (!previous_calls_.empty() && previous_calls_.front().get() != &call) {
         const std::shared_ptr<Call> oldest = previous_calls_.front();
--- a/tests/end_to_end/reload_test.cpp
+++ b/tests/end_to_end/reload_test.cpp
@@ -107,6 +107,25 @@
     EXPECT_EQ(server_of_next_request(fixture), 1U);
 }
 
+// Guards against requests to a draining server after a reload: a change from the old address that was read
+// together with the list of the new one took effect over it, and undid the drain (review/9).
+TEST(Reload, AppliesListOfNewAddressAfterChangesOfOldWatch) {
+    TwoServersFixture fixture;
+    fixture.start();
+    fixture.begin_watch();
+    fixture.handle_pending_events();
+    ASSERT_NO_FATAL_FAILURE(fixture.reload_with_new_discovery());
+    Json entries = fixture.targets();
+    entries[0]["state"] = "leaving";
+    FakeServer& new_discovery = fixture.new_discoveries.back();
+    // The event loop does not run in between, as if the process was held up, and finds both at once.
+    new_discovery.last_connection().respond("200 OK", fixture.watch_line(entries, true));
+    fixture.send_chunk(fixture.watch_line(fixture.list_of_server(0), false));
+    ASSERT_TRUE(fixture.until([&] { return fixture.discovery.last_connection().closed; }));
+    fixture.handle_pending_events();
+    for (int i = 0; i < 4; ++i) EXPECT_EQ(server_of_next_request(fixture), 1U);
+}
+
 // A reload names an address where nobody listens. The old watch must stay in use while calls to it fail.
 TEST(Reload, KeepsOldWatchWhileNewAddressRefusesConnections) {
     TwoServersFixture fixture;
