Fetch the whole list when discovery may be another process

Cause: the next watch began at the old process's version, for which the new one had nothing to send. Change: where lists are pushed, the whole list is fetched after a watch that ended, or could not be opened, other than by silence. In either mode a change of an earlier version than the list's is applied, and the whole list fetched. Two fixtures of tests keep their long drain grace when they set other rules.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -241,6 +241,9 @@
         }
         const bool is_complete = endpoint_list.is_complete;
         if (is_superseded_ && is_complete) return end_call(DiscoveryError::connection_closed);
+        // A change with an earlier version comes from another process at the service's address.
+        const bool is_version_reset =
+            !is_complete && is_current() && endpoint_list.revision < owner_.list_version_;
         const Millis now = owner_.clock_.now();
         endpoint_list.list_age_bound = now - std::exchange(owner_.last_message_at_, now);
         if (is_current()) {
@@ -251,6 +254,10 @@
         if (is_complete) owner_.close_calls_before(*this);
         owner_.handlers_.on_endpoint_list(std::move(endpoint_list));
         owner_.handlers_.on_list_confirmed();
+        if (is_version_reset) {
+            owner_.needs_whole_list_ = true;
+            return end_call(DiscoveryError::version_reset);
+        }
         return !is_closed_;
     }
 
@@ -369,6 +376,9 @@
         return;
     }
     call_.reset();
+    // The agent may have been replaced by another process, which numbers its versions anew.
+    const bool may_be_replaced = mode_ == Mode::pushed && error != DiscoveryError::timed_out;
+    if (may_be_replaced) needs_whole_list_ = true;
     retry_after(error);
 }
 
--- a/src/net/discovery_error.cpp
+++ b/src/net/discovery_error.cpp
@@ -25,6 +25,8 @@
                 return "the service sent a line of more than 4 MiB";
             case DiscoveryError::invalid_list:
                 return "the service sent a list that cannot be parsed";
+            case DiscoveryError::version_reset:
+                return "the service sent a change of an earlier version than the current list";
             case DiscoveryError::timed_out:
                 return "the service sent no complete response or line within the timeout";
         }
--- a/src/net/discovery_error.hpp
+++ b/src/net/discovery_error.hpp
@@ -15,6 +15,7 @@
     unexpected_status,  ///< the response has a status other than 200
     line_too_long,      ///< a line or list is longer than kMaxListBytes
     invalid_list,       ///< a list or a change can't be parsed
+    version_reset,      ///< a change has an earlier version than the current list
     timed_out,          ///< the service sent no complete response or line in time
 };
 
--- a/tests/end_to_end/wall_clock_step_test.cpp
+++ b/tests/end_to_end/wall_clock_step_test.cpp
@@ -33,8 +33,8 @@
 
     // The default duration of slow start is so long that no server becomes warm during a test.
     explicit WallClockFixture(Millis slow_start_duration = 600 * kSecond) : SidecarFixture(kServers) {
-        config["settings"]["rules"] = {
-            {"cold-from", 0.05}, {"warm-within-ms", slow_start_duration}, {"fall-multiple", 2.5}};
+        config["settings"]["rules"].update(
+            {{"cold-from", 0.05}, {"warm-within-ms", slow_start_duration}, {"fall-multiple", 2.5}});
     }
 
     void start() {
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -40,13 +40,51 @@
         << "the fetched list must be in force";
 }
 
+// Guards against a list that stays outdated for good: the agent's process is replaced by another one at its
+// address, whose versions are lower, so a watch from the old version would never report what has changed.
+TEST(Discovery, FetchesWholeListAfterWatchOfPushedListHasEnded) {
+    SidecarFixture fixture(2);
+    fixture.config["known"]["rev"] = 41;
+    fixture.start();
+    fixture.begin_watch();
+    fixture.handle_pending_events();
+    fixture.discovery.last_connection().close();
+    ASSERT_TRUE(fixture.until([&] { return fixture.discovery.request_count() == 2; }));
+    EXPECT_NE(fixture.discovery.last_connection().received.find("GET /discovery/hosts "), std::string::npos);
+    Json entries = fixture.targets();
+    entries[0]["state"] = "leaving";
+    fixture.discovery.last_connection().respond("200 OK", fixture.watch_line(entries, true));
+    ASSERT_TRUE(fixture.until([&] { return fixture.discovery.request_count() == 3; }));
+    EXPECT_NE(fixture.discovery.last_connection().received.find("stream=1&index=2 "), std::string::npos);
+    const auto client = fixture.connect_client();
+    client->send(SidecarFixture::request("safe"));
+    ASSERT_TRUE(fixture.until([&] { return fixture.servers.back().request_count() == 1; }));
+}
+
+// Guards against the same where the end of the old process was not seen: a change of an earlier version than
+// the current list comes from another process.
+TEST(Discovery, AppliesChangeOfEarlierVersionAndFetchesWholeList) {
+    SidecarFixture fixture(2);
+    fixture.config["known"]["rev"] = 41;
+    fixture.start();
+    fixture.begin_watch();
+    Json changes = fixture.targets();
+    changes[0]["state"] = "leaving";
+    fixture.send_chunk(fixture.watch_line(changes, false));
+    ASSERT_TRUE(fixture.until([&] { return fixture.discovery.request_count() == 2; }));
+    EXPECT_NE(fixture.discovery.last_connection().received.find("GET /discovery/hosts "), std::string::npos);
+    const auto client = fixture.connect_client();
+    client->send(SidecarFixture::request("safe"));
+    ASSERT_TRUE(fixture.until([&] { return fixture.servers.back().request_count() == 1; }));
+}
+
 // The list adds a new server at an address before it removes the old server there. Requests for the old
 // server would reach the new one, which is cold, so the address gets only the requests that slow start
 // allows.
 TEST(Discovery, TreatsNewServerAtKnownAddressAsCold) {
     SidecarFixture fixture;
-    fixture.config["settings"]["rules"] = {
-        {"cold-from", 0.2}, {"warm-within-ms", 600000.0}, {"fall-multiple", 2.5}};
+    fixture.config["settings"]["rules"].update(
+        {{"cold-from", 0.2}, {"warm-within-ms", 600000.0}, {"fall-multiple", 2.5}});
     fixture.start();
     FakeServer& server = fixture.servers.front();
     const auto client = fixture.connect_client();
