Let silent connections age by the process's clock as well as the kernel's

Change: it is old enough by the time since its accept, as before, or by the kernel's, which includes the accept queue.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -104,8 +104,7 @@
     switch (state_) {
         case ConnectionState::awaiting_request:
             if (latest_request_was_rejected_) return now - idle_since_ > kMinAgeAfterRejection;
-            return (has_sent_response_ || has_been_silent_for(kMinAgeWithoutBytes, now)) &&
-                   !has_unread_data();
+            return (has_sent_response_ || is_old_without_bytes(now)) && !has_unread_data();
         case ConnectionState::lingering_close:
             // Input beyond kMaxDiscardedBytes is not read: by then the response has been delivered, or the
             // client can't be distinguished from a flood. Below that, unread bytes forbid the close, because
@@ -123,13 +122,16 @@
     return may_be_rejected && !has_unread_data();
 }
 
+bool ClientConnection::is_old_without_bytes(Millis now) {
+    return now - idle_since_ > kMinAgeWithoutBytes || has_been_silent_for(kMinAgeWithoutBytes, now);
+}
+
 // Asks the kernel only if the time of the last byte that is known so far is long enough ago: the pool calls
 // this for many connections each time that it needs a socket.
 bool ClientConnection::has_been_silent_for(Millis time, Millis now) {
     if (now - last_receive_ < time) return false;
     const auto silence = time_since_last_receive(socket_.native_handle());
-    // Without the kernel only the time of the accept is known, but not when bytes of a request arrived.
-    if (!silence) return state_ == ConnectionState::awaiting_request;
+    if (!silence) return false;
     last_receive_ = std::max(last_receive_, now - *silence);
     return now - last_receive_ >= time;
 }
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -243,7 +243,10 @@
     using Error = boost::system::error_code;
 
     void enter(ConnectionState state);
-    // Returns whether the client has sent nothing for `time`. Unread bytes count as sent when they arrived.
+    // Returns whether a connection without any received byte has reached kMinAgeWithoutBytes.
+    bool is_old_without_bytes(Millis now);
+    // Returns whether the client is known to have sent nothing for `time`. Unread bytes count as sent when
+    // they arrived.
     bool has_been_silent_for(Millis time, Millis now);
 
     // ---- timer and socket events
