Use the configured list where connecting to discovery fails with an error

Cause: only a refused connection confirmed the configured list. Connects that fail for lack of something on this machine left it unconfirmed, so sending was suspended until the agent was reached. Change: any error of the connect confirms it, since nobody can be asked then.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -47,7 +47,7 @@
         socket_.async_connect(owner_.endpoint_, [self = shared_from_this()](Error error) {
             if (self->is_closed_) return;
             if (error) {
-                if (error == asio::error::connection_refused) self->owner_.handlers_.on_list_confirmed();
+                self->owner_.handlers_.on_list_confirmed();
                 self->end_call(DiscoveryError::connect_failed);
                 return;
             }
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -103,8 +103,8 @@
         /// Called with each parsed list or change, in order of arrival.
         std::function<void(EndpointList)> on_endpoint_list;
         /// Called when the current list is known to be up to date, after it was applied: at each list, change
-        /// and heartbeat, kFirstLineDelay after the response to a watch has begun, and when a connection is
-        /// refused. In the last case there is no service that could know of a change.
+        /// and heartbeat, kFirstLineDelay after the response to a watch has begun, and when connecting fails
+        /// with an error. In the last case no service can be asked, so the current list is the best one.
         std::function<void()> on_list_confirmed;
     };
 
