--- a/src/base/socket_state.hpp
+++ b/src/base/socket_state.hpp
@@ -44,7 +44,7 @@
 /// waited in the accept queue and that received bytes waited to be read.
 /// @param socket the descriptor of the socket
 /// @return the time in milliseconds, with the resolution of the kernel's tick (tcp(7), tcp_info); nothing if
-///         the kernel does not tell
+///         the kernel does not report it
 inline std::optional<Millis> time_since_last_receive(int socket) {
     // Older kernels return a shorter structure.
     constexpr std::size_t kNeededBytes =
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -126,8 +126,8 @@
     return now - idle_since_ > kMinAgeWithoutBytes || has_been_silent_for(kMinAgeWithoutBytes, now);
 }
 
-// Asks the kernel only if the time of the last byte that is known so far is long enough ago: the pool calls
-// this for many connections each time that it needs a socket.
+// Queries the kernel only if the last recorded time is long enough ago, because the pool calls this for many
+// connections each time that it needs a socket.
 bool ClientConnection::has_been_silent_for(Millis time, Millis now) {
     if (now - last_receive_ < time) return false;
     const auto silence = time_since_last_receive(socket_.native_handle());
--- a/src/net/correlation_id_registry.hpp
+++ b/src/net/correlation_id_registry.hpp
@@ -17,7 +17,7 @@
 /// Ids are kept in two generations. A new generation begins after `retention`, or when the current one is
 /// full. Then the previous generation is dropped and the current one becomes the previous one. So an id stays
 /// in the set for one to two retentions, and for less only if more than kMaxIdsPerGeneration ids are inserted
-/// within one retention. An id that comes again stays as long as a new one.
+/// within one retention. A repeated id stays as long as a new one.
 ///
 /// Stores a hash of 64 bits for each id, so that long ids take no more memory than short ones.
 ///
@@ -27,8 +27,8 @@
     /// The busiest sidecar receives 1,280 requests per second (LATER), so even there an id stays for more
     /// than 12 s. Both generations together take less than 2 MB.
     static constexpr std::size_t kMaxIdsPerGeneration = 16384;
-    /// Minimum retention. A client that has left may send the same id again, or another one may for it. Its
-    /// first request may have run, also long after its deadline.
+    /// Minimum retention. A client that has disconnected may repeat its request with the same id, although
+    /// the first one may have run, also long after its deadline.
     static constexpr Millis kMinRetention = 60000;
 
     /// @param longest_deadline the longest time that any client waits for its response.
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -241,7 +241,7 @@
         }
         const bool is_complete = endpoint_list.is_complete;
         if (is_superseded_ && is_complete) return end_call(DiscoveryError::connection_closed);
-        // A change with an earlier version comes from another process at the service's address.
+        // Only another process at the service's address sends a change with an earlier version.
         const bool is_version_reset =
             !is_complete && is_current() && endpoint_list.revision < owner_.list_version_;
         const Millis now = owner_.clock_.now();
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -104,7 +104,7 @@
         std::function<void(EndpointList)> on_endpoint_list;
         /// Called when the current list is known to be up to date, after it was applied: at each list, change
         /// and heartbeat, kFirstLineDelay after the response to a watch has begun, and when connecting fails
-        /// with an error. In the last case no service can be asked, so the current list is the best one.
+        /// with an error. In the last case no service can confirm the list, so it stays in use.
         std::function<void()> on_list_confirmed;
     };
 
--- a/src/net/request_parser.hpp
+++ b/src/net/request_parser.hpp
@@ -19,7 +19,7 @@
 
 /// A Beast Body that keeps the payload in a string whose memory is taken from a RequestMemory.
 struct RequestBody {
-    /// The payload, and where its memory comes from. `memory` must be set before the body is read.
+    /// The payload, and the owner of its memory grants. `memory` must be set before the body is read.
     struct value_type {
         std::string text{};
         RequestMemory* memory = nullptr;
--- a/src/sidecar/list_confirmation.hpp
+++ b/src/sidecar/list_confirmation.hpp
@@ -11,9 +11,9 @@
 
 /// Tracks whether discovery has confirmed the endpoint list in this run of the process.
 ///
-/// The list of the configuration may be older than what the agent on this machine knows. Where lists are
-/// pushed, what the agent knows counts as told from the first moment of a new process (STANDING), also while
-/// discovery is down and the agent is silent. So without a confirmation any server of the list may be
+/// The list of the configuration may be older than the list of the agent on this machine. Where lists are
+/// pushed, the sidecar must comply with the agent's list from the start of its process (STANDING), also while
+/// discovery is down and the agent does not respond. So without a confirmation any server of the list may be
 /// draining, and requests may be sent by that list only within the grace period of a drain.
 ///
 /// | state | event | next state |
--- a/tests/end_to_end/startup_test.cpp
+++ b/tests/end_to_end/startup_test.cpp
@@ -55,7 +55,7 @@
     }
 }
 
-// A sidecar that starts while discovery is down: the agent accepts the call and is silent.
+// A sidecar that starts while discovery is down: the agent accepts the call and does not respond.
 struct SilentAgentFixture : SidecarFixture {
     FakeServer& server = servers.front();
 
@@ -88,8 +88,8 @@
     }
 };
 
-// Guards against requests to a draining server after a restart while discovery is down: the agent may know of
-// a drain that the list of the configuration does not have, and that counts as told (review/8).
+// Guards against requests to a draining server after a restart while discovery is down: the agent's list
+// may have a drain that the list of the configuration does not have, and it already applies (review/8).
 TEST(Startup, StopsSendingByConfiguredListWithinDrainGraceWhileAgentIsSilent) {
     SilentAgentFixture fixture;
     EXPECT_EQ(fixture.readiness(), "HTTP/1.1 503");
--- a/tests/net/correlation_id_registry_test.cpp
+++ b/tests/net/correlation_id_registry_test.cpp
@@ -10,8 +10,8 @@
 
 constexpr Millis kLongestDeadline = 1500;
 
-// Guards against a request that runs twice because its id came again some seconds after its client had left:
-// ids were forgotten after one to two longest deadlines.
+// Guards against a request that runs twice because its id is repeated some seconds after its client has
+// disconnected: ids were forgotten after one to two longest deadlines.
 TEST(CorrelationIdRegistry, RemembersIdLongAfterTheLongestDeadlineDespiteOtherRequests) {
     CorrelationIdRegistry registry(kLongestDeadline);
     EXPECT_TRUE(registry.insert("repeated", 0));
@@ -22,7 +22,7 @@
 }
 
 // An id that is sent again and again must not be accepted once in each retention.
-TEST(CorrelationIdRegistry, RemembersIdThatComesAgainAsLongAsANewOne) {
+TEST(CorrelationIdRegistry, RemembersRepeatedIdAsLongAsANewOne) {
     CorrelationIdRegistry registry(kLongestDeadline);
     EXPECT_TRUE(registry.insert("repeated", 0));
     const Millis interval = CorrelationIdRegistry::kMinRetention / 2;
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -61,8 +61,8 @@
     ASSERT_TRUE(fixture.until([&] { return fixture.servers.back().request_count() == 1; }));
 }
 
-// Guards against the same where the end of the old process was not seen: a change of an earlier version than
-// the current list comes from another process.
+// Guards against the same where the end of the old process was not reported: only another process sends a
+// change of an earlier version than the current list.
 TEST(Discovery, AppliesChangeOfEarlierVersionAndFetchesWholeList) {
     SidecarFixture fixture(2);
     fixture.config["known"]["rev"] = 41;
--- a/tests/sidecar/list_confirmation_test.cpp
+++ b/tests/sidecar/list_confirmation_test.cpp
@@ -37,7 +37,7 @@
 }
 
 // Guards against a grace period that begins when the port is bound: the previous process may hold it for
-// seconds, while what the agent knows counts as told.
+// seconds, while the agent's list already applies.
 TEST(ListConfirmation, SuspendsAtOnceIfTheStartTookLongerThanTheGrace) {
     ListConfirmationFixture fixture;
     block_event_loop_until(fixture.clock, fixture.clock.now() + 2);
@@ -45,7 +45,7 @@
     EXPECT_EQ(fixture.suspended_count, 1);
 }
 
-TEST(ListConfirmation, SuspendsWhenGraceIsOverAndResumesOnce) {
+TEST(ListConfirmation, SuspendsWhenGraceEndsAndResumesOnce) {
     ListConfirmationFixture fixture;
     fixture.confirmation.require(1);
     ASSERT_TRUE(run_until(fixture.io, [&] { return fixture.suspended_count == 1; }));
